--- /dev/null
+++ b/drill/src/facts.rs
@@ -0,0 +1,133 @@
+//! The facts given at start, from JSON into the plain values of the decisions' interface.
+use crate::frame::Malformed;
+use quillramp::decide::Door;
+use quillramp::types::*;
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+struct Told {
+    balancers: usize,
+    slot_no: usize,
+    zone: usize,
+    discovery: String,
+    caps: Caps,
+    classes: Vec<Class>,
+    extra: Extra,
+    rules: Rules,
+    tariffs: Vec<Tariff>,
+}
+
+#[derive(Deserialize)]
+struct Caps {
+    cancel: bool,
+    max_attempts: usize,
+    max_retry_after_us: f64,
+    peers: bool,
+    retry_after: bool,
+    second_copies: bool,
+}
+
+#[derive(Deserialize)]
+struct Class {
+    aim_us: f64,
+    give_up_us: f64,
+    group: String,
+    idempotency: String,
+    gain: f64,
+    window_us: f64,
+}
+
+#[derive(Deserialize)]
+struct Extra {
+    counter: bool,
+    counter_timeout_us: f64,
+    max_units: f64,
+}
+
+#[derive(Deserialize)]
+struct Rules {
+    cold_from: f64,
+    fall_us: f64,
+    overload_factor: f64,
+    stop_sending_within_us: f64,
+    warm_after_us: f64,
+}
+
+#[derive(Deserialize)]
+struct Tariff {
+    ceiling_rate: f64,
+    ceiling_slack: f64,
+    depth: f64,
+    hard_burst: f64,
+    parallel: usize,
+    per_second: f64,
+}
+
+pub struct Start {
+    pub door: Door,
+    pub operations: usize,
+    pub plans: usize,
+    pub ask_for_list: bool,
+}
+
+fn operation(i: usize, c: &Class) -> Result<Operation, String> {
+    let group = || match c.group.as_str() {
+        "all" => Ok(Group::All),
+        "zone" => Ok(Group::Zone),
+        "cell" => Ok(Group::Cell),
+        other => Err(format!("classes[{i}].group: unknown value '{other}'")),
+    };
+    let effect = match c.idempotency.as_str() {
+        "retryable" => Effect::Idempotent,
+        "dedup" => Effect::Tokened { group: group()?, window: c.window_us / 1e6 },
+        "fragile" => Effect::NonIdempotent,
+        other => return Err(format!("classes[{i}].idempotency: unknown value '{other}'")),
+    };
+    let (latency_objective, integration_timeout) = (c.aim_us / 1e6, c.give_up_us / 1e6);
+    Ok(Operation { latency_objective, integration_timeout, effect, billed_value: c.gain })
+}
+
+pub fn start(seed: u64, json: &[u8]) -> Result<Start, Malformed> {
+    let told: Told = serde_json::from_slice(json).map_err(|e| Malformed(format!("settings: {e}")))?;
+    let operations = told.classes.iter().enumerate().map(|(i, c)| operation(i, c));
+    let operations: Vec<Operation> =
+        operations.collect::<Result<_, _>>().map_err(|e| Malformed(format!("settings: {e}")))?;
+    let ask_for_list = match told.discovery.as_str() {
+        "pushed" => false,
+        "on_request" => true,
+        other => return Err(Malformed(format!("settings: discovery: unknown value '{other}'"))),
+    };
+    let plans: Vec<Plan> = told
+        .tariffs
+        .iter()
+        .map(|t| Plan {
+            rate: t.per_second,
+            burst: t.depth,
+            open: t.parallel,
+            ceiling_rate: t.ceiling_rate,
+            ceiling_burst: t.hard_burst,
+            ceiling_slack: t.ceiling_slack,
+        })
+        .collect();
+    let place =
+        Place { door: told.slot_no, doors: told.balancers.max(1), zone: told.zone, peers: told.caps.peers };
+    let rules = StartAndStop {
+        drain_grace: told.rules.stop_sending_within_us / 1e6,
+        cold_from: told.rules.cold_from,
+        warm_after: told.rules.warm_after_us / 1e6,
+        overload_multiple: told.rules.overload_factor,
+        fall_after: told.rules.fall_us / 1e6,
+    };
+    let may = Deliveries {
+        most: told.caps.max_attempts,
+        second_copies: told.caps.second_copies,
+        cancels: told.caps.cancel,
+        retry_after: told.caps.retry_after.then_some(told.caps.max_retry_after_us / 1e6),
+    };
+    let limits =
+        CounterLimits { timeout: told.extra.counter_timeout_us / 1e6, largest_units: told.extra.max_units };
+    let counter = told.extra.counter.then_some(limits);
+    let (n, m) = (operations.len(), plans.len());
+    let door = Door::new(seed, place, operations, plans, rules, may, counter);
+    Ok(Start { door, operations: n, plans: m, ask_for_list })
+}
--- /dev/null
+++ b/drill/src/host.rs
@@ -0,0 +1,377 @@
+//! Hosts instances: events into calls, answers into actions. It holds ids, timers and invocations; it decides nothing.
+use crate::facts;
+use crate::frame::{Batch, Malformed, Record, Reply};
+use quillramp::decide::Door;
+use quillramp::types::*;
+use std::collections::{BTreeMap, HashMap};
+
+const KEY_BITS: u32 = 33;
+const ENTRY: usize = 23;
+
+struct Held {
+    id: u32,
+    ask: Ask,
+    out: usize,
+    sent: usize,
+    closed: bool,
+}
+
+struct Instance {
+    door: Door,
+    operations: usize,
+    plans: usize,
+    held: Vec<Option<Held>>,
+    free: Vec<usize>,
+    by_id: HashMap<u32, usize>,
+    addresses: Vec<[u8; 6]>,
+    by_address: HashMap<[u8; 6], usize>,
+    customers: Vec<u64>,
+    customers_free: Vec<usize>,
+    by_customer: HashMap<u64, usize>,
+    timer: Option<u64>,
+    timers: u64,
+}
+
+#[derive(Default)]
+pub struct Host {
+    instances: BTreeMap<u32, Instance>,
+}
+
+impl Host {
+    pub fn answer(&mut self, batch: &Batch) -> Vec<u8> {
+        let mut reply = Reply::default();
+        if let Err(e) = self.run(batch, &mut reply) {
+            reply.with_tail(130, 1, e.0.as_bytes());
+        }
+        reply.frame()
+    }
+
+    fn run(&mut self, batch: &Batch, reply: &mut Reply) -> Result<(), Malformed> {
+        let now = batch.clock as f64 / 1e6;
+        let mut named = false;
+        for i in 0..batch.records {
+            let r = batch.record(i);
+            if r.code() == 10 {
+                if named {
+                    self.settle(now, reply);
+                }
+                reply.door = r.u32(1);
+                named = true;
+                continue;
+            }
+            if !named {
+                return Err(r.wrong("no instance was named before it"));
+            }
+            match r.code() {
+                60 => {
+                    let start = facts::start(r.u64(1), r.tail(9, 1)?).map_err(|e| r.wrong(e))?;
+                    self.instances.insert(reply.door, Instance::new(start, reply));
+                }
+                50 => {
+                    self.instances.remove(&reply.door);
+                }
+                code => {
+                    let Some(x) = self.instances.get_mut(&reply.door) else {
+                        return Err(r.wrong(format!("instance {} has not started", reply.door)));
+                    };
+                    match code {
+                        90 => x.listed(now, &r)?,
+                        120 => x.submitted(now, &r, reply)?,
+                        110 => x.streaming(&r)?,
+                        80 => x.completed(now, &r, reply)?,
+                        30 => x.aborted(&r),
+                        20 => x.due(&r),
+                        100 => x.counted(now, &r)?,
+                        40 => x.peer_said(now, &r)?,
+                        70 => x.probed(&r)?,
+                        _ => return Err(r.wrong("unknown code")),
+                    }
+                }
+            }
+        }
+        if named {
+            self.settle(now, reply);
+        }
+        Ok(())
+    }
+
+    /// After an instance's events: whom to ask about again, and the next timer.
+    fn settle(&mut self, now: f64, reply: &mut Reply) {
+        if let Some(x) = self.instances.get_mut(&reply.door) {
+            x.settle(now, reply);
+        }
+    }
+}
+
+fn ending(r: &Record, at: usize) -> Result<Ending, Malformed> {
+    Ok(match r.u16(at) {
+        1 => Ending::Succeeded,
+        2 => Ending::Errored,
+        3 => Ending::TurnedAway,
+        4 => Ending::TimedOut,
+        5 => Ending::NotConnected,
+        6 => Ending::Broken,
+        7 => Ending::Cancelled,
+        8 => Ending::NotSent,
+        n => return Err(r.wrong(format!("unknown outcome {n}"))),
+    })
+}
+
+impl Instance {
+    fn new(start: facts::Start, reply: &mut Reply) -> Instance {
+        if start.ask_for_list {
+            reply.put(60).bytes(1, &[1]);
+        }
+        Instance {
+            door: start.door,
+            operations: start.operations,
+            plans: start.plans,
+            held: vec![],
+            free: vec![],
+            by_id: HashMap::new(),
+            addresses: vec![],
+            by_address: HashMap::new(),
+            customers: vec![],
+            customers_free: vec![],
+            by_customer: HashMap::new(),
+            timer: None,
+            timers: 0,
+        }
+    }
+
+    fn listed(&mut self, now: f64, r: &Record) -> Result<(), Malformed> {
+        let whole = match r.u8(5) {
+            0 => return Ok(()),
+            1 => false,
+            2 | 3 => true,
+            n => return Err(r.wrong(format!("unknown kind of list {n}"))),
+        };
+        let mut entries = Vec::new();
+        for (i, e) in r.tail(6, ENTRY)?.chunks_exact(ENTRY).enumerate() {
+            let address: [u8; 6] = e[3..9].try_into().expect("six bytes");
+            let standing = match e[9] {
+                0 => Standing::Gone,
+                1 => Standing::Ready,
+                2 => Standing::Draining,
+                n => return Err(r.wrong(format!("entry {i}: unknown state {n}"))),
+            };
+            let addresses = &mut self.addresses;
+            let tgt = *self.by_address.entry(address).or_insert_with(|| {
+                addresses.push(address);
+                addresses.len() - 1
+            });
+            let started = u64::from_le_bytes(e[10..18].try_into().expect("eight bytes"));
+            entries.push(Listed {
+                tgt,
+                standing,
+                zone: usize::from(e[2]),
+                cell: usize::from(u16::from_le_bytes([e[0], e[1]])),
+                size: f64::from(f32::from_le_bytes(e[19..23].try_into().expect("four bytes"))),
+                started: (started > 0).then_some(started as f64 / 1e6),
+            });
+        }
+        self.door.listed(now, whole, &entries);
+        Ok(())
+    }
+
+    fn customer(&mut self, key: u64) -> usize {
+        if let Some(&c) = self.by_customer.get(&key) {
+            return c;
+        }
+        let c = self.customers_free.pop().unwrap_or_else(|| {
+            self.customers.push(0);
+            self.customers.len() - 1
+        });
+        self.customers[c] = key;
+        self.by_customer.insert(key, c);
+        c
+    }
+
+    fn submitted(&mut self, now: f64, r: &Record, reply: &mut Reply) -> Result<(), Malformed> {
+        let (operation, plan) = (usize::from(r.u8(28)), usize::from(r.u16(25)));
+        if operation >= self.operations {
+            return Err(r.wrong(format!("operation {operation} of {}", self.operations)));
+        }
+        if plan >= self.plans {
+            return Err(r.wrong(format!("plan {plan} of {}", self.plans)));
+        }
+        let units = r.f32(13);
+        if !(units.is_finite() && units >= 0.0) {
+            return Err(r.wrong(format!("{units} units")));
+        }
+        let customer = self.customer(r.u64(17));
+        let (doors, until) = (r.f32(29) as usize, now + r.seconds(9));
+        let ask = Ask { operation, plan, customer, units, doors, until };
+        let inv = self.free.pop().unwrap_or_else(|| {
+            self.held.push(None);
+            self.held.len() - 1
+        });
+        let id = r.u32(1);
+        self.held[inv] = Some(Held { id, ask, out: 0, sent: 0, closed: false });
+        self.by_id.insert(id, inv);
+        let answer = self.door.place(now, inv, &ask);
+        self.carry_out(inv, answer, reply);
+        Ok(())
+    }
+
+    fn streaming(&mut self, r: &Record) -> Result<(), Malformed> {
+        match self.by_id.get(&r.u32(1)) {
+            Some(&inv) => self.door.streaming(inv),
+            None => return Err(r.wrong(format!("invocation {} is not held", r.u32(1)))),
+        }
+        Ok(())
+    }
+
+    fn completed(&mut self, now: f64, r: &Record, reply: &mut Reply) -> Result<(), Malformed> {
+        let id = r.u32(1);
+        let Some(&inv) = self.by_id.get(&id) else {
+            return Err(r.wrong(format!("invocation {id} is not held")));
+        };
+        let address = r.address(7);
+        let Some(&tgt) = self.by_address.get(&address) else {
+            return Err(r.wrong(format!("backend {address:?} was never listed")));
+        };
+        let ending = ending(r, 13)?;
+        let delivery = usize::from(r.u16(5));
+        let held = self.held[inv].as_mut().expect("an id leads to a held invocation");
+        if delivery >= held.sent {
+            return Err(r.wrong(format!("delivery {delivery} of {}", held.sent)));
+        }
+        held.out = held.out.saturating_sub(1);
+        let closed = r.u8(19) != 0;
+        held.closed |= closed;
+        let true_units = (r.u16(22) > 0).then(|| f64::from(r.u16(22)));
+        let outcome = Outcome { delivery, tgt, ending, took: r.seconds(15), closed, true_units };
+        let answer = self.door.after(now, inv, &outcome);
+        self.carry_out(inv, answer, reply);
+        Ok(())
+    }
+
+    fn aborted(&mut self, r: &Record) {
+        if let Some(&inv) = self.by_id.get(&r.u32(1)) {
+            self.door.gone(inv);
+            if let Some(held) = self.held[inv].as_mut() {
+                held.closed = true;
+            }
+            self.release(inv);
+        }
+    }
+
+    fn due(&mut self, r: &Record) {
+        if r.u64(1) == self.timers {
+            self.timer = None;
+        }
+    }
+
+    fn counted(&mut self, now: f64, r: &Record) -> Result<(), Malformed> {
+        let name = r.u64(5);
+        let result = match r.u16(13) {
+            1 => Counted::Total(r.f32(15)),
+            3 | 5 => Counted::Unreached,
+            4 => Counted::Unanswered,
+            n => return Err(r.wrong(format!("unknown outcome {n}"))),
+        };
+        if let Some(&customer) = self.by_customer.get(&(name & ((1 << KEY_BITS) - 1))) {
+            let series = (name >> KEY_BITS) as u32;
+            self.door.counted(now, CountName { customer, series }, result);
+        }
+        Ok(())
+    }
+
+    fn peer_said(&mut self, now: f64, r: &Record) -> Result<(), Malformed> {
+        for address in r.tail(5, 1)?.chunks_exact(6) {
+            if let Some(&tgt) = self.by_address.get(address) {
+                self.door.peer_word(now, tgt);
+            }
+        }
+        Ok(())
+    }
+
+    fn probed(&mut self, r: &Record) -> Result<(), Malformed> {
+        ending(r, 7).map(|_| ())
+    }
+
+    fn release(&mut self, inv: Inv) {
+        if self.held[inv].as_ref().is_some_and(|h| h.closed && h.out == 0) {
+            let held = self.held[inv].take().expect("checked");
+            self.by_id.remove(&held.id);
+            self.free.push(inv);
+        }
+    }
+
+    fn carry_out(&mut self, inv: Inv, answer: Answer, reply: &mut Reply) {
+        let held = self.held[inv].as_mut().expect("asked about a held invocation");
+        let id = held.id.to_le_bytes();
+        match answer.verdict {
+            Verdict::Deliver { tgt, time_out } => {
+                held.out += 1;
+                held.sent += 1;
+                let put = reply.put(140).bytes(1, &id).bytes(5, &self.addresses[tgt]);
+                put.micros(11, time_out.unwrap_or(0.0));
+            }
+            Verdict::NotYet => {}
+            Verdict::Throttle { retry_after } => {
+                held.closed = true;
+                reply.put(80).bytes(1, &id).micros(5, retry_after.unwrap_or(0.0));
+            }
+            Verdict::Error => {
+                held.closed = true;
+                reply.put(30).bytes(1, &id);
+            }
+        }
+        self.run_errands(answer.errands, reply);
+        self.release(inv);
+    }
+
+    fn run_errands(&mut self, errands: Errands, reply: &mut Reply) {
+        for c in errands.counter {
+            let name = self.customers[c.name.customer] | u64::from(c.name.series) << KEY_BITS;
+            let add = (c.add as f32).to_le_bytes();
+            reply.put(70).bytes(1, &name.to_le_bytes()).bytes(9, &add).micros(13, c.lives);
+        }
+        if !errands.good_word.is_empty() {
+            let mut body: Vec<u8> = errands.good_word.iter().flat_map(|t| self.addresses[*t]).collect();
+            body.truncate(252);
+            reply.with_tail(90, 3, &body).bytes(1, &[0xff, 0xff]);
+        }
+        for (inv, delivery) in errands.cancels {
+            if let Some(held) = self.held[inv].as_ref() {
+                reply.put(110).bytes(1, &held.id.to_le_bytes()).bytes(5, &(delivery as u16).to_le_bytes());
+            }
+        }
+        for line in errands.log {
+            reply.with_tail(120, 1, line.as_bytes());
+        }
+    }
+
+    fn settle(&mut self, now: f64, reply: &mut Reply) {
+        loop {
+            let wait = self.door.wait(now);
+            self.run_errands(wait.errands, reply);
+            for customer in wait.idle {
+                self.by_customer.remove(&self.customers[customer]);
+                self.customers_free.push(customer);
+            }
+            if wait.again.is_empty() {
+                return self.set_timer(now, wait.seconds, reply);
+            }
+            for inv in wait.again {
+                if let Some(ask) = self.held[inv].as_ref().filter(|h| !h.closed).map(|h| h.ask) {
+                    let answer = self.door.place(now, inv, &ask);
+                    self.carry_out(inv, answer, reply);
+                }
+            }
+        }
+    }
+
+    /// Timers can't be taken back: a new one is set only where it rings before the one that stands.
+    fn set_timer(&mut self, now: f64, seconds: Option<f64>, reply: &mut Reply) {
+        let Some(seconds) = seconds else { return };
+        let at = ((now + seconds.clamp(0.0, 3600.0)) * 1e6).ceil() as u64;
+        if self.timer.is_none_or(|t| at < t) {
+            self.timers += 1;
+            self.timer = Some(at);
+            reply.put(10).bytes(1, &self.timers.to_le_bytes()).micros(9, seconds.clamp(0.0, 3600.0));
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,3 @@
+//! quillramp: the decisions of a gateway that holds customers to their quotas before a shared back end.
+pub mod decide;
+pub mod types;
--- /dev/null
+++ b/src/types.rs
@@ -0,0 +1,192 @@
+//! The plain values that go in and out of the decisions. Times are seconds, ids are small indices.
+
+/// An invocation that this front door holds; the caller reuses an index once the invocation has closed.
+pub type Inv = usize;
+pub type Tgt = usize;
+pub type Customer = usize;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// What a repeat of an operation does.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    Idempotent,
+    Tokened { group: Group, window: f64 },
+    NonIdempotent,
+}
+
+#[derive(Clone, Debug)]
+pub struct Operation {
+    pub latency_objective: f64,
+    pub integration_timeout: f64,
+    pub effect: Effect,
+    pub billed_value: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub rate: f64,
+    pub burst: f64,
+    /// Deliveries out at once; 0 is no cap.
+    pub open: usize,
+    pub ceiling_rate: f64,
+    pub ceiling_burst: f64,
+    pub ceiling_slack: f64,
+}
+
+/// The figures of the rules on drains and cold starts.
+#[derive(Clone, Copy, Debug)]
+pub struct StartAndStop {
+    pub drain_grace: f64,
+    pub cold_from: f64,
+    pub warm_after: f64,
+    pub overload_multiple: f64,
+    pub fall_after: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Deliveries {
+    pub most: usize,
+    pub second_copies: bool,
+    pub cancels: bool,
+    /// The longest advice that clients heed; none where no advice can be given.
+    pub retry_after: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct CounterLimits {
+    pub timeout: f64,
+    pub largest_units: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    pub door: usize,
+    pub doors: usize,
+    pub zone: usize,
+    pub peers: bool,
+}
+
+/// What an invocation says of itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    pub operation: usize,
+    pub plan: usize,
+    pub customer: Customer,
+    pub units: f64,
+    /// The customer's front doors: how many they are.
+    pub doors: usize,
+    /// When the client gives this try up.
+    pub until: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    pub tgt: Tgt,
+    pub standing: Standing,
+    pub zone: usize,
+    pub cell: usize,
+    pub size: f64,
+    /// When it last started; none if long past.
+    pub started: Option<f64>,
+}
+
+/// How a delivery ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ending {
+    Succeeded,
+    Errored,
+    TurnedAway,
+    TimedOut,
+    NotConnected,
+    Broken,
+    Cancelled,
+    NotSent,
+}
+
+impl Ending {
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::TurnedAway | Ending::NotConnected | Ending::NotSent)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Outcome {
+    pub delivery: usize,
+    pub tgt: Tgt,
+    pub ending: Ending,
+    pub took: f64,
+    /// Nothing more is owed for the invocation.
+    pub closed: bool,
+    pub true_units: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Counted {
+    Total(f64),
+    /// Nothing was added.
+    Unreached,
+    /// It may have been added.
+    Unanswered,
+}
+
+/// A count is named by customer and series.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CountName {
+    pub customer: Customer,
+    pub series: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CounterCall {
+    pub name: CountName,
+    pub add: f64,
+    pub lives: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    Deliver { tgt: Tgt, time_out: Option<f64> },
+    NotYet,
+    Throttle { retry_after: Option<f64> },
+    Error,
+}
+
+/// What else is to be done, with each of the three answers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Errands {
+    pub counter: Vec<CounterCall>,
+    /// Backends that this front door has had good answers from, to tell its peers.
+    pub good_word: Vec<Tgt>,
+    pub cancels: Vec<(Inv, usize)>,
+    pub log: Vec<String>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    pub verdict: Verdict,
+    pub errands: Errands,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Wait {
+    /// Invocations to ask about again now.
+    pub again: Vec<Inv>,
+    /// Customers forgotten: their indices are free.
+    pub idle: Vec<Customer>,
+    /// Seconds until the next call is due; none if nothing is.
+    pub seconds: Option<f64>,
+    pub errands: Errands,
+}
