--- a/drill/src/facts.rs
+++ b/drill/src/facts.rs
@@ -128,6 +128,6 @@
         CounterLimits { timeout: told.extra.counter_timeout_us / 1e6, largest_units: told.extra.max_units };
     let counter = told.extra.counter.then_some(limits);
     let (n, m) = (operations.len(), plans.len());
-    let door = Door::new(seed, place, operations, plans, rules, may, counter);
+    let door = Door::new((seed, place), (operations, plans), (rules, may), counter);
     Ok(Start { door, operations: n, plans: m, ask_for_list })
 }
