Pace the counter calls; a crowded counter serves dry slices first; trials that fail double

Told from a counter that is down by answers that go on coming. Change: each door paces its calls by answers and misses; out of pace, an invocation its even slice covers spends from it and tells the count later, so that calls go to customers whose slice is dry; a full slice may go into debt for one invocation; silence needs a span without any answer. Also: work pressed out of good backends no longer goes to troubled ones, a failed trial doubles the wait, repeats of what never ran are free, trials are idempotent only.

Also covers: one-time callers crowding the counter. Harm: customers may use up to one more share in the crowd.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,11 +1,11 @@
-//! All decisions of one front door. Its interface is in `types.rs`. The caller tells facts (`listed`, `counted`,
-//! `peer_word`, `gone`, `streaming`) and asks three things: `place` (where does this invocation go, or not yet, or
-//! never), `after` (what now, after this outcome), `wait` (how long until the next look, and whom to ask about
-//! again). It keeps the timer and the held invocations; errands (counter calls, words, cancels) leave with answers.
+//! All decisions of one front door. Its interface is in `types.rs`. The caller tells facts (`listed`,
+//! `counted`, `peer_word`, `gone`, `streaming`) and asks three things: `place` (where does this invocation
+//! go, or not yet, or never), `after` (what now, after this outcome), `wait` (how long until the next look,
+//! and whom to ask about again). It keeps the timer and the held invocations; errands leave with the answers.
 //!
-//! Quota: a customer's count on the counter service holds the units taken since its window began. The store it
-//! stands for regains `rate` a second, so the allowance is the burst plus that, and a count that lags behind what
-//! the store has regained is lifted to it (a full store spills). A forgotten or new count is lifted likewise.
+//! Quota: a customer's count on the counter service holds the units taken since its window began. The store
+//! it stands for regains `rate` a second, so the allowance is the burst plus that, and a count that lags
+//! behind what the store regained is lifted to it (a full store spills); so is a forgotten or a new count.
 use crate::types::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -19,6 +19,9 @@
 const DEADLINE: f64 = 0.04; // of the latency objective: the longest wait for the counter
 const MISSES: u32 = 4; // calls past the deadline, none answered since: the counter is silent
 const RECALL: f64 = 0.25; // a silent counter is read this often
+const PACE: (f64, f64, f64) = (5.0, 0.25, 400.0); // counter calls a second: least, more by an answer, most
+const SLOWER: f64 = 2.5; // less by a missed call
+const PACE_SPAN: f64 = 0.2; // calls saved up
 const IDLE: f64 = 12.0; // a customer not seen for so long is dropped
 const HIGH: f64 = 0.95; // the quantile of answer times that judges a backend
 const STEP: f64 = 0.05; // by which an answer moves that quantile
@@ -38,6 +41,7 @@
 }
 
 // ======== for one invocation
+#[derive(Default)]
 struct Invocation {
     ask: Ask,
     came: f64,
@@ -59,12 +63,11 @@
 }
 
 // ======== for one customer, while it is seen
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy)]
 enum Errand {
     Lease { units: f64, paid: f64, spill: f64 },
     Lift { level: f64 },
     Return,
-    Read,
 }
 
 struct Call {
@@ -93,13 +96,20 @@
 }
 
 // ======== for one backend
+#[derive(Clone, Copy)]
+struct Aside {
+    since: f64,
+    until: f64,
+    span: f64,
+}
+#[derive(Default)]
 struct Backend {
     is: Listed,
     out: usize,
     high: f64, // its high quantile of answer times, against its fellows'
     quiet_since: f64,
     fails: u32,
-    aside: Option<(f64, f64)>,
+    aside: Option<Aside>,
     busy_until: f64,
     sent: VecDeque<f64>,
     good: f64,
@@ -124,12 +134,6 @@
     Words,
 }
 
-enum Quota {
-    Go,
-    Hold,
-    Refuse(f64),
-}
-
 // ======== for the instance
 pub struct Door {
     rng: ChaCha8Rng,
@@ -139,15 +143,19 @@
     rules: StartAndStop,
     may: Deliveries,
     counter: Option<CounterLimits>,
-    invs: Vec<Option<Invocation>>,
-    accounts: Vec<Option<Account>>,
-    backends: Vec<Option<Backend>>,
+    invs: BTreeMap<Inv, Invocation>,
+    accounts: BTreeMap<Customer, Account>,
+    backends: BTreeMap<Tgt, Backend>,
     high: Vec<f64>, // by operation, over all backends
     repeats: f64,
     misses: u32,
     heard: f64,
     silent: bool,
     recall: f64,
+    pace: f64, // counter calls a second that we allow ourselves
+    paced: f64,
+
+    calls: f64,
     again: Vec<Inv>,
     idle: Vec<Customer>,
     bells: BTreeMap<(u64, u64), Bell>,
@@ -163,13 +171,14 @@
         counter: Option<CounterLimits>,
     ) -> Door {
         let high = operations.iter().map(|o| o.latency_objective / 4.0).collect();
-        let (invs, accounts, backends, again, idle) = (vec![], vec![], vec![], vec![], vec![]);
+        let (invs, accounts, backends) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         let (rng, bells, errands) = (ChaCha8Rng::seed_from_u64(seed), BTreeMap::new(), Errands::default());
         let (repeats, misses, heard, silent, recall, rung) = (REPEATS.1 / 2.0, 0, 0.0, false, 0.0, 0);
+        let (pace, paced, calls, again, idle) = (PACE.2, 0.0, 0.0, vec![], vec![]);
         #[rustfmt::skip]
         return Door {
-            rng, place, operations, plans, rules, may, counter, invs, accounts, backends, high, repeats, misses,
-            heard, silent, recall, again, idle, bells, rung, errands,
+            rng, place, operations, plans, rules, may, counter, invs, accounts, backends, high, repeats,
+            misses, heard, silent, recall, pace, paced, calls, again, idle, bells, rung, errands,
         };
     }
 
@@ -181,21 +190,17 @@
             self.ring(now + WORDS, Bell::Words);
         }
         if whole {
-            self.backends.iter_mut().flatten().for_each(|b| b.is.standing = Standing::Gone);
+            self.backends.values_mut().for_each(|b| b.is.standing = Standing::Gone);
         }
         for &is in entries {
-            if self.backends.len() <= is.tgt {
-                self.backends.resize_with(is.tgt + 1, || None);
-            }
-            match &mut self.backends[is.tgt] {
+            match self.backends.get_mut(&is.tgt) {
                 Some(b) if b.is.started == is.started => b.is = is,
-                slot => {
-                    let (out, sent) = slot.take().map_or((0, VecDeque::new()), |b| (b.out, b.sent));
-                    let (high, quiet_since, fails, aside, busy_until) = (1.0, now, 0, None, 0.0);
-                    let (good, good_at) = (0.0, now);
-                    #[rustfmt::skip]
-                    let b = Backend { is, out, high, quiet_since, fails, aside, busy_until, sent, good, good_at };
-                    *slot = Some(b);
+                old => {
+                    let (out, sent) =
+                        old.map_or((0, VecDeque::new()), |b| (b.out, std::mem::take(&mut b.sent)));
+                    let (high, quiet_since, good_at) = (1.0, now, now);
+                    let b = Backend { is, out, sent, high, quiet_since, good_at, ..Backend::default() };
+                    self.backends.insert(is.tgt, b);
                 }
             }
         }
@@ -203,26 +208,23 @@
 
     /// A peer has had good answers from this backend: one set aside may be tried again.
     pub fn peer_word(&mut self, now: f64, tgt: Tgt) {
-        let Some(Some(b)) = self.backends.get_mut(tgt) else { return };
+        let Some(b) = self.backends.get_mut(&tgt) else { return };
         // The word may be older than our trouble: half of the span comes first.
-        b.aside = b.aside.map(|(until, span)| (if until - now < span / 2.0 { now } else { until }, span));
-    }
-
-    /// The client has left, or the time is up: nothing more is owed.
-    pub fn gone(&mut self, inv: Inv) {
-        self.close(inv);
+        if let Some(a) = b.aside.as_mut().filter(|a| a.until - now < a.span / 2.0) {
+            a.until = now;
+        }
     }
 
     /// A stream has begun: the invocation is bound to its delivery and owes nothing by the clock.
     pub fn streaming(&mut self, inv: Inv) {
-        if let Some(Some(v)) = self.invs.get_mut(inv) {
+        if let Some(v) = self.invs.get_mut(&inv) {
             (v.look, v.ask.until) = (f64::INFINITY, f64::INFINITY);
         }
     }
 
     /// What came of a counter call.
     pub fn counted(&mut self, now: f64, name: CountName, result: Counted) {
-        let Some(Some(a)) = self.accounts.get_mut(name.customer) else { return };
+        let Some(a) = self.accounts.get_mut(&name.customer) else { return };
         let Some(i) = a.calls.iter().position(|c| c.series == name.series) else { return };
         let call = a.calls.remove(i).expect("position found");
         if let Counted::Total(total) = result {
@@ -235,11 +237,11 @@
             match call.what {
                 Errand::Lease { paid, .. } => a.settle += paid,
                 Errand::Return => a.settle += call.add,
-                Errand::Lift { .. } | Errand::Read => {}
+                Errand::Lift { .. } => {}
             }
         }
         for inv in std::mem::take(&mut a.waiting) {
-            if let Some(Some(v)) = self.invs.get_mut(inv) {
+            if let Some(v) = self.invs.get_mut(&inv) {
                 v.counter_until = now;
                 self.again.push(inv);
             }
@@ -251,18 +253,13 @@
 
     /// Where to send this invocation, or not yet, or never. Asked first when it comes, then as `wait` says.
     pub fn place(&mut self, now: f64, inv: Inv, ask: &Ask) -> Answer {
-        if self.invs.len() <= inv {
-            self.invs.resize_with(inv + 1, || None);
-        }
-        if self.invs[inv].is_none() {
-            let deadline = DEADLINE * self.operations[ask.operation].latency_objective;
-            let deadline = self.counter.map_or(0.0, |c| deadline.min(c.timeout)).min((ask.until - now) / 4.0);
+        if !self.invs.contains_key(&inv) {
+            self.heard = if self.heard == 0.0 { now } else { self.heard };
+            let longest = self.counter.map_or(0.0, |c| c.timeout).min((ask.until - now) / 4.0);
+            let deadline = longest.min(DEADLINE * self.operations[ask.operation].latency_objective);
             self.account(now, ask);
             let (ask, came, counter_until) = (*ask, now, now + deadline);
-            let (admitted, look, deliveries, closed) = (false, f64::INFINITY, vec![], false);
-            #[rustfmt::skip]
-            let v = Invocation { ask, came, counter_until, admitted, look, deliveries, closed };
-            self.invs[inv] = Some(v);
+            self.invs.insert(inv, Invocation { ask, came, counter_until, ..Invocation::default() });
             self.ring(counter_until, Bell::Inv(inv));
             self.ring(ask.until - ANSWER_BY, Bell::Inv(inv)); // a last look, whatever it is held for
         }
@@ -272,11 +269,11 @@
 
     /// What to do after this outcome.
     pub fn after(&mut self, now: f64, inv: Inv, o: &Outcome) -> Answer {
-        let Some(Some(v)) = self.invs.get_mut(inv) else { return self.answer(inv, Verdict::NotYet) };
+        let Some(v) = self.invs.get_mut(&inv) else { return self.answer(inv, Verdict::NotYet) };
         let (ask, sent) = (v.ask, v.deliveries[o.delivery].sent);
         v.deliveries[o.delivery].ending = Some(o.ending);
         let (out, closed) = (v.out(), v.closed || o.closed);
-        if let Some(Some(a)) = self.accounts.get_mut(ask.customer) {
+        if let Some(a) = self.accounts.get_mut(&ask.customer) {
             a.out = a.out.saturating_sub(1);
             if let Some(units) = o.true_units {
                 a.settle += units - ask.units;
@@ -285,7 +282,7 @@
         }
         self.judge(now, ask.operation, sent, o);
         if closed {
-            self.close(inv);
+            self.gone(inv);
         }
         let verdict = if closed || out > 0 { Verdict::NotYet } else { self.decide(now, inv) };
         self.answer(inv, verdict)
@@ -298,8 +295,7 @@
                 Bell::Inv(inv) => self.again.push(inv),
                 Bell::Customer(c) => self.lapse(now, c),
                 Bell::Words => {
-                    let good =
-                        self.backends.iter().flatten().filter(|b| b.good > 0.0 && b.good_at > now - WORDS);
+                    let good = self.backends.values().filter(|b| b.good > 0.0 && b.good_at > now - WORDS);
                     self.errands.good_word = good.map(|b| b.is.tgt).collect();
                     self.ring(now + WORDS, Bell::Words);
                 }
@@ -307,7 +303,7 @@
         }
         self.again.sort_unstable();
         self.again.dedup();
-        let live = |i: &Inv| self.invs.get(*i).is_some_and(|v| v.as_ref().is_some_and(|v| !v.closed));
+        let live = |i: &Inv| self.invs.get(i).is_some_and(|v| !v.closed);
         let again = std::mem::take(&mut self.again).into_iter().filter(live).collect();
         let seconds = self.bells.keys().next().map(|k| f64::from_bits(k.0) - now);
         let idle = std::mem::take(&mut self.idle);
@@ -316,31 +312,26 @@
 
     // ======== the course of one invocation
 
+    /// Quota first; then the next delivery, as far as the operation allows one.
     fn decide(&mut self, now: f64, inv: Inv) -> Verdict {
-        if !self.invs[inv].as_ref().expect("held").admitted {
-            match self.quota(now, inv) {
-                Quota::Go => self.invs[inv].as_mut().expect("held").admitted = true,
-                Quota::Hold => return Verdict::NotYet,
-                Quota::Refuse(seconds) => return self.throttle(seconds),
+        if !&self.invs[&inv].admitted {
+            if let Some(no) = self.quota(now, inv) {
+                return no;
             }
+            self.invs.get_mut(&inv).expect("held").admitted = true;
         }
-        self.deliver(now, inv)
-    }
-
-    /// The next delivery of an admitted invocation, as far as its operation allows one.
-    fn deliver(&mut self, now: f64, inv: Inv) -> Verdict {
-        let v = self.invs[inv].as_ref().expect("held");
+        let v = &self.invs[&inv];
         let op = &self.operations[v.ask.operation];
         let (out, tries, left) = (v.out(), v.deliveries.len(), v.ask.until - now);
         let (operation, customer, objective) = (v.ask.operation, v.ask.customer, op.latency_objective);
-        let ran = v.may_have_run();
+        let ran = v.may_have_run().map(|d| (d.tgt, d.sent));
         let may_repeat = match (ran, op.effect) {
             (None, _) | (_, Effect::Idempotent) => true,
-            (Some(d), Effect::Tokened { window, .. }) => now < d.sent + window,
+            (Some((_, sent)), Effect::Tokened { window, .. }) => now < sent + window,
             (_, Effect::NonIdempotent) => false,
         };
         let bound = match (ran, op.effect) {
-            (Some(d), Effect::Tokened { group, .. }) if group != Group::All => Some((group, d.tgt)),
+            (Some((tgt, _)), Effect::Tokened { group, .. }) if group != Group::All => Some((group, tgt)),
             _ => None,
         };
         let may_throttle = may_repeat && bound.is_none();
@@ -349,7 +340,7 @@
             // A delivery is doubted when its backend is quiet, or when its answer is long overdue.
             let (i, d) =
                 v.deliveries.iter().enumerate().rfind(|(_, d)| d.ending.is_none()).expect("one is out");
-            let quiet = self.backends[d.tgt].as_ref().is_some_and(|b| b.quiet(now, self.high[operation]));
+            let quiet = self.backends.get(&d.tgt).is_some_and(|b| b.quiet(now, self.high[operation]));
             if now < v.look || op.effect != Effect::Idempotent || late || tries >= self.may.most {
                 return Verdict::NotYet;
             }
@@ -359,21 +350,21 @@
             if !self.may.second_copies {
                 if self.may.cancels {
                     self.errands.cancels.push((inv, i));
-                    self.invs[inv].as_mut().expect("held").look = f64::INFINITY;
+                    self.invs.get_mut(&inv).expect("held").look = f64::INFINITY;
                 }
                 return Verdict::NotYet;
             }
         } else if left <= ANSWER_BY
             || !may_repeat
             || tries >= self.may.most
-            || tries > 0 && (late || self.repeats < 1.0)
+            || tries > 0 && (late || ran.is_some() && self.repeats < 1.0)
         {
             return if may_throttle { self.throttle(1.0) } else { Verdict::Error };
         }
         let tried: Vec<Tgt> = v.deliveries.iter().map(|d| d.tgt).collect();
-        let (came, a) = (v.came, self.accounts[customer].as_ref());
-        let share = a.map_or(usize::MAX, |a| self.open_share(a));
-        let full = tries == 0 && a.is_some_and(|a| a.out >= share);
+        let (came, a, open) = (v.came, &self.accounts[&customer], self.plans[v.ask.plan].open);
+        // A cap on deliveries out at once is held by an even share, one at least.
+        let full = tries == 0 && open > 0 && a.out as f64 >= (open as f64 / a.doors).ceil();
         let Some(tgt) = (if full { None } else { self.pick(now, operation, &tried, bound) }) else {
             if out == 0 && (now - came > objective / 4.0 || !full) {
                 if tries == 0 {
@@ -383,23 +374,25 @@
             }
             return self.look_again(now, inv, objective / 50.0);
         };
-        self.repeats =
-            if tries == 0 { (self.repeats + REPEATS.0).min(REPEATS.1) } else { self.repeats - 1.0 };
+        self.repeats = (self.repeats + REPEATS.0 - f64::from(ran.is_some())).min(REPEATS.1);
         self.look_again(now, inv, self.high[operation]);
-        self.invs[inv].as_mut().expect("held").deliveries.push(Delivery { tgt, sent: now, ending: None });
-        if let Some(a) = self.accounts[customer].as_mut() {
+        self.invs.get_mut(&inv).expect("held").deliveries.push(Delivery { tgt, sent: now, ending: None });
+        if let Some(a) = self.accounts.get_mut(&customer) {
             a.out += 1;
         }
-        let b = self.backends[tgt].as_mut().expect("picked");
+        let b = self.backends.get_mut(&tgt).expect("picked");
         b.quiet_since = if b.out == 0 { now } else { b.quiet_since };
         b.out += 1;
         b.sent.push_back(now);
-        b.aside = b.aside.map(|(until, span)| (until.max(now + span), span)); // one trial in each span
+        b.sent.retain(|t| *t > now - self.rules.fall_after);
+        if let Some(a) = &mut b.aside {
+            a.until = a.until.max(now + a.span); // one trial in each span
+        }
         Verdict::Deliver { tgt, time_out: None }
     }
 
     fn look_again(&mut self, now: f64, inv: Inv, seconds: f64) -> Verdict {
-        self.invs[inv].as_mut().expect("held").look = now + seconds;
+        self.invs.get_mut(&inv).expect("held").look = now + seconds;
         self.ring(now + seconds, Bell::Inv(inv));
         Verdict::NotYet
     }
@@ -412,20 +405,21 @@
 
     fn answer(&mut self, inv: Inv, verdict: Verdict) -> Answer {
         if matches!(verdict, Verdict::Throttle { .. } | Verdict::Error) {
-            self.close(inv);
+            self.gone(inv);
         }
         Answer { verdict, errands: std::mem::take(&mut self.errands) }
     }
 
-    fn close(&mut self, inv: Inv) {
-        let Some(Some(v)) = self.invs.get_mut(inv) else { return };
+    /// The client has left, or the time is up, or it has its answer: nothing more is owed.
+    pub fn gone(&mut self, inv: Inv) {
+        let Some(v) = self.invs.get_mut(&inv) else { return };
         if !v.closed && self.may.cancels {
             let out = v.deliveries.iter().enumerate().filter(|(_, d)| d.ending.is_none());
             self.errands.cancels.extend(out.map(|(i, _)| (inv, i)));
         }
         v.closed = true;
         if v.out() == 0 {
-            self.invs[inv] = None;
+            self.invs.remove(&inv);
         }
     }
 
@@ -437,48 +431,41 @@
     // ======== quotas
 
     fn account(&mut self, now: f64, ask: &Ask) {
-        if self.accounts.len() <= ask.customer {
-            self.accounts.resize_with(ask.customer + 1, || None);
-        }
-        if self.accounts[ask.customer].is_none() {
+        if !self.accounts.contains_key(&ask.customer) {
             let (p, doors) = (&self.plans[ask.plan], ask.doors.max(1) as f64);
             let (slice, ceiling) = (p.burst / doors, p.ceiling_slack / doors / 2.0);
             let (plan, slice_at, used) = (ask.plan, now, now);
             let a = Account { plan, doors, slice, slice_at, ceiling, used, ..Account::default() };
-            self.accounts[ask.customer] = Some(a);
+            self.accounts.insert(ask.customer, a);
             self.ring(now + IDLE, Bell::Customer(ask.customer));
         }
     }
 
-    fn open_share(&self, a: &Account) -> usize {
-        match self.plans[a.plan].open {
-            0 => usize::MAX,
-            open => (open as f64 / a.doors).ceil().max(1.0) as usize,
-        }
-    }
-
-    /// The quota's word: spend from the lease, lease anew, refuse at once when the count is full.
-    fn quota(&mut self, now: f64, inv: Inv) -> Quota {
-        let v = self.invs[inv].as_ref().expect("held");
+    /// The quota's word: spend from the lease, lease anew, refuse when the count is full; none is yes.
+    fn quota(&mut self, now: f64, inv: Inv) -> Option<Verdict> {
+        let v = &self.invs[&inv];
         let (customer, units, past) = (v.ask.customer, v.ask.units, now >= v.counter_until);
-        let a = self.accounts[customer].as_mut().expect("has an account");
+        let a = self.accounts.get_mut(&customer).expect("has an account");
         let p = &self.plans[a.plan];
         let (even, most) = (p.rate / a.doors, p.burst / a.doors);
         a.slice = (a.slice + even * (now - a.slice_at)).min(most);
-        a.sliced = a.sliced.min(most - a.slice); // what the slice has regained is owed no more
+        if a.slice >= most {
+            a.sliced = 0.0; // the slice has regained what it spent: nothing is owed
+        }
         if p.ceiling_rate > 0.0 {
-            // A hard ceiling is held by an even share of its own, which starts empty: a restart fills nothing.
+            // A hard ceiling is held by an even share of its own, empty at start: a restart fills nothing.
             let (even, most) = (p.ceiling_rate / a.doors, p.ceiling_burst / a.doors);
             a.ceiling = (a.ceiling + even * (now - a.slice_at)).min(most);
         }
         (a.slice_at, a.used) = (now, now);
         if p.ceiling_rate > 0.0 && a.ceiling < units {
-            return Quota::Refuse((units - a.ceiling) * a.doors / p.ceiling_rate);
+            let short = (units - a.ceiling) * a.doors / p.ceiling_rate;
+            return Some(self.throttle(short));
         }
         if p.rate <= 0.0 || now < a.lapses && a.lease >= units {
             a.lease -= if p.rate > 0.0 { units } else { 0.0 };
             a.ceiling -= units;
-            return Quota::Go;
+            return None;
         }
         let series = (now / WINDOW) as u32;
         if series != a.series {
@@ -489,30 +476,39 @@
         let regained = p.rate * (now - f64::from(series) * WINDOW);
         let owed = a.settle + a.sliced;
         let room = a.seen.map_or(p.burst, |s| p.burst + regained - s.max(regained) - owed);
-        if self.silent || past || self.counter.is_none() {
+        let leasing = a.calls.iter().any(|c| matches!(c.what, Errand::Lease { .. }));
+        // A full slice smaller than the request goes into debt: else small quotas get nothing in silence.
+        let fits = a.slice >= units.min(most);
+        self.calls = (self.calls + self.pace * (now - self.paced)).min(self.pace * PACE_SPAN);
+        self.paced = now;
+        // A crowded counter serves those first whose slice is dry.
+        let least = if fits { (self.pace * PACE_SPAN / 2.0).max(1.0) } else { 1.0 };
+        let crowded = !leasing && self.calls < least;
+        if self.silent || past || crowded || self.counter.is_none() {
             a.waiting.retain(|w| *w != inv);
-            let (fits, idle) = (a.slice >= units, a.calls.is_empty());
-            let short = (units - a.slice) / even;
+            let (idle, short) = (a.calls.is_empty(), (units.min(most) - a.slice) / even);
             if fits {
                 a.slice -= units;
                 a.sliced += units;
                 a.ceiling -= units;
+                self.ring(now + LAPSE, Bell::Customer(customer));
             }
             if self.silent && now >= self.recall && idle && self.counter.is_some() {
                 self.recall = now + RECALL;
-                self.call(customer, series, 0.0, Errand::Read);
-            } else if !self.silent && !idle {
+                self.call(customer, series, 0.0, Errand::Return);
+            } else if past && !self.silent && !idle {
                 self.missed(now);
             }
-            return if fits { Quota::Go } else { Quota::Refuse(short) };
+            return if fits { None } else { Some(self.throttle(short)) };
         }
-        if a.calls.iter().any(|c| matches!(c.what, Errand::Lease { .. })) {
+        if leasing {
             a.waiting.push(inv); // one call in flight serves all that wait for it
-            return Quota::Hold;
+            return Some(Verdict::NotYet);
         }
         let need = units - if now < a.lapses { a.lease } else { 0.0 };
         if need > room {
-            return Quota::Refuse((need - room) / p.rate);
+            let short = (need - room) / p.rate;
+            return Some(self.throttle(short));
         }
         let batch = if room > p.burst / 2.0 { p.burst * BATCH } else { 0.0 };
         let spill = a.seen.map_or(0.0, |s| (regained - s).max(0.0));
@@ -520,19 +516,20 @@
         (a.settle, a.sliced) = (0.0, 0.0);
         a.waiting.push(inv);
         self.call(customer, series, units + owed + spill, Errand::Lease { units, paid: owed, spill });
-        Quota::Hold
+        Some(Verdict::NotYet)
     }
 
     fn call(&mut self, customer: Customer, series: u32, add: f64, what: Errand) {
-        let Some(Some(a)) = self.accounts.get_mut(customer) else { return };
+        let Some(a) = self.accounts.get_mut(&customer) else { return };
         a.calls.push_back(Call { series, add, what });
+        self.calls -= 1.0;
         let name = CountName { customer, series };
         self.errands.counter.push(CounterCall { name, add, lives: NAME_LIFE });
     }
 
-    /// An answered call: correct the count where it lags or was lifted twice, keep what fits, return the rest.
+    /// An answered call: right the count where it lags or was lifted twice, keep what fits, return the rest.
     fn credit(&mut self, now: f64, name: CountName, call: &Call, total: f64) {
-        let a = self.accounts[name.customer].as_mut().expect("has calls");
+        let a = self.accounts.get_mut(&name.customer).expect("has calls");
         let p = &self.plans[a.plan];
         let small = p.burst * SPILL;
         let waiting = std::mem::take(&mut a.waiting);
@@ -556,7 +553,7 @@
                 a.lapses = now + LAPSE;
             }
             Errand::Lift { level } => back = call.add - (level - before).clamp(0.0, call.add),
-            Errand::Return | Errand::Read => {}
+            Errand::Return => {}
         }
         if current {
             a.seen = Some(total + lift - back);
@@ -576,8 +573,8 @@
 
     /// Units of an invocation that was never sent on serve the customer's next.
     fn give_back(&mut self, now: f64, inv: Inv) {
-        let ask = self.invs[inv].as_ref().expect("held").ask;
-        let Some(Some(a)) = self.accounts.get_mut(ask.customer) else { return };
+        let ask = &self.invs[&inv].ask;
+        let Some(a) = self.accounts.get_mut(&ask.customer) else { return };
         a.lease = ask.units + if now < a.lapses { a.lease } else { 0.0 };
         a.ceiling += ask.units;
         a.lapses = now + LAPSE;
@@ -586,14 +583,15 @@
 
     /// A lease that lapsed goes back to the count; a customer not seen for long is dropped.
     fn lapse(&mut self, now: f64, customer: Customer) {
-        let Some(Some(a)) = self.accounts.get_mut(customer) else { return };
+        let Some(a) = self.accounts.get_mut(&customer) else { return };
         let (lapsed, quiet, series) = (now >= a.lapses, a.calls.is_empty(), a.series);
-        let add = a.settle - a.lease;
-        if lapsed && quiet && add.abs() > 0.5 && !self.silent && self.counter.is_some() {
-            (a.lease, a.settle) = (0.0, 0.0);
+        let add = a.settle + a.sliced - a.lease;
+        let free = !self.silent && self.calls > self.pace * PACE_SPAN / 2.0;
+        if lapsed && quiet && add.abs() > 0.5 && free && self.counter.is_some() {
+            (a.lease, a.settle, a.sliced) = (0.0, 0.0, 0.0);
             self.call(customer, series, add, Errand::Return);
         } else if now >= a.used + IDLE && quiet && a.out == 0 && a.waiting.is_empty() {
-            self.accounts[customer] = None;
+            self.accounts.remove(&customer);
             self.idle.push(customer);
         } else if lapsed {
             let at = (a.used + IDLE).max(now + LAPSE);
@@ -607,59 +605,55 @@
             self.errands.log.push(line);
         }
         (self.silent, self.misses, self.heard) = (false, 0, now);
+        self.pace = (self.pace + PACE.1).min(PACE.2);
     }
 
     fn missed(&mut self, now: f64) {
         self.misses += 1;
-        if !self.silent && self.misses >= MISSES {
+        self.pace = (self.pace - SLOWER).max(PACE.0);
+        if !self.silent && self.misses >= MISSES && now - self.heard > PACE_SPAN {
             (self.silent, self.recall) = (true, now + RECALL);
-            let line =
-                format!("counter silent: {} calls missed since {:.2}; even slices", self.misses, self.heard);
-            self.errands.log.push(line);
+            let (n, since) = (self.misses, self.heard);
+            self.errands.log.push(format!("counter silent: {n} calls missed since {since:.2}; even slices"));
         }
     }
 
     // ======== backends
 
     /// Two drawn at random among those in good standing; the one our own counts favour wins.
-    fn pick(
-        &mut self,
-        now: f64,
-        operation: usize,
-        tried: &[Tgt],
-        bound: Option<(Group, Tgt)>,
-    ) -> Option<Tgt> {
-        let kin = bound.and_then(|(g, t)| self.backends[t].as_ref().map(|b| (g, b.is.zone, b.is.cell)));
-        let in_service = |b: &&Backend| b.is.standing == Standing::Ready;
-        let warm = self.backends.iter().flatten().filter(in_service);
-        let warm: Vec<f64> =
-            warm.filter(|b| b.aside.is_none() && self.share(now, b) >= 1.0).map(|b| b.rate(now)).collect();
-        let warm_rate = warm.iter().sum::<f64>() / warm.len().max(1) as f64;
-        let (high, objective) = (self.high[operation], self.operations[operation].latency_objective);
-        let (mut good, mut poor) = (vec![], vec![]);
-        for b in self.backends.iter().flatten().filter(in_service) {
+    fn pick(&mut self, now: f64, op: usize, tried: &[Tgt], kin: Option<(Group, Tgt)>) -> Option<Tgt> {
+        let kin = kin.and_then(|(g, t)| self.backends.get(&t).map(|b| (g, b.is.zone, b.is.cell)));
+        let ready = || self.backends.values().filter(|b| b.is.standing == Standing::Ready);
+        let warm = ready().filter(|b| b.aside.is_none() && self.share(now, b) >= 1.0);
+        let (n, rate) = warm.fold((0.0, 0.0), |(n, r), b| (n + 1.0, r + b.rate(now)));
+        let (high, effect) = (self.high[op], self.operations[op].effect);
+        let span = PRESSED * self.operations[op].latency_objective;
+        let all_out: usize = ready().map(|b| b.out).sum();
+        if high > span && all_out as f64 > (rate * span).max(1.0) {
+            return None; // slow answers all over: no more out than they would clear
+        }
+        let (mut good, mut poor, mut pressed) = (vec![], vec![], false);
+        for b in ready() {
             if kin.is_some_and(|(g, z, c)| if g == Group::Zone { b.is.zone != z } else { b.is.cell != c }) {
                 continue;
             }
+            // Cold: no more than its share of what a warm one answers us. All doors doing so, it gets a share
+            // of a warm one's load, which is under what it can do.
             let share = self.share(now, b);
-            if share < 1.0 {
-                // Cold: no more than its share of what a warm one answers us. All doors doing so, it gets a
-                // share of a warm one's load, which is under what it can do.
-                let sent = b.sent.iter().filter(|t| **t > now - self.rules.fall_after).count();
-                if sent as f64 >= (share * warm_rate * self.rules.fall_after).max(1.0) {
-                    continue;
-                }
-            }
-            // Pressed: what is out there would take too much of the objective at the pace of its answers.
-            if b.out as f64 >= (b.rate(now) * PRESSED * objective).max(2.0) {
+            let sent = b.sent.iter().filter(|t| **t > now - self.rules.fall_after).count() as f64;
+            if share < 1.0 && sent >= (share * rate / f64::max(n, 1.0) * self.rules.fall_after).max(1.0) {
                 continue;
             }
-            let waits = b.aside.is_some_and(|(until, _)| now < until) || b.busy_until > now;
-            let list =
-                if waits || tried.contains(&b.is.tgt) || b.quiet(now, high) { &mut poor } else { &mut good };
-            list.push(b.is.tgt);
+            let waits = b.aside.is_some_and(|a| now < a.until || effect != Effect::Idempotent);
+            if waits || b.busy_until > now || tried.contains(&b.is.tgt) || b.quiet(now, high) {
+                poor.push(b.is.tgt);
+            } else if b.out as f64 >= (b.rate(now) * span).max(1.0) {
+                pressed = true; // what is out there takes enough of the objective, at the pace of its answers
+            } else {
+                good.push(b.is.tgt);
+            }
         }
-        if good.is_empty() {
+        if good.is_empty() && !pressed {
             // All are in trouble: those that we have not tried yet, then any.
             good = poor.iter().copied().filter(|t| !tried.contains(t)).collect();
             good = if good.is_empty() { poor } else { good };
@@ -681,14 +675,14 @@
 
     /// Our own deliveries out, against the backend's size, its slowness beside its fellows and its warmth.
     fn load(&self, now: f64, tgt: Tgt) -> f64 {
-        let b = self.backends[tgt].as_ref().expect("listed");
+        let b = &self.backends[&tgt];
         (b.out + 1) as f64 * b.high.max(0.5) / b.is.size.max(0.01) / self.share(now, b)
     }
 
     /// What an outcome says of its backend.
     fn judge(&mut self, now: f64, operation: usize, sent: f64, o: &Outcome) {
         let high = &mut self.high[operation];
-        let Some(Some(b)) = self.backends.get_mut(o.tgt) else { return };
+        let Some(b) = self.backends.get_mut(&o.tgt) else { return };
         let toward =
             |q: f64, over: bool| q * if over { 1.0 + STEP * HIGH } else { 1.0 - STEP * (1.0 - HIGH) };
         b.out = b.out.saturating_sub(1);
@@ -709,14 +703,15 @@
                 let silent = matches!(o.ending, Ending::TimedOut | Ending::Cancelled);
                 b.fails += u32::from(!silent || b.good_at < sent);
                 if b.fails >= 2 || o.ending == Ending::Broken {
-                    let span = b.aside.map_or(ASIDE.0, |(_, s)| (s * 2.0).min(ASIDE.1));
                     if b.aside.is_none() {
                         let line =
                             format!("backend {} aside: {} bad in a row, last {:?}", o.tgt, b.fails, o.ending);
                         self.errands.log.push(line);
                     }
-                    if b.aside.is_none_or(|(until, s)| now >= until || until - now <= s / 2.0) {
-                        b.aside = Some((now + span, span));
+                    // Only what was sent since it was set aside says more than we knew.
+                    if b.aside.is_none_or(|a| sent > a.since) {
+                        let span = b.aside.map_or(ASIDE.0, |a| (a.span * 2.0).min(ASIDE.1));
+                        b.aside = Some(Aside { since: now, until: now + span, span });
                     }
                 }
             }
--- a/src/types.rs
+++ b/src/types.rs
@@ -73,7 +73,7 @@
 }
 
 /// What an invocation says of itself.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Ask {
     pub operation: usize,
     pub plan: usize,
@@ -85,14 +85,15 @@
     pub until: f64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Standing {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Listed {
     pub tgt: Tgt,
     pub standing: Standing,
