--- a/src/decide.rs
+++ b/src/decide.rs
@@ -26,7 +26,7 @@
 const HIGH: f64 = 0.95; // the quantile of answer times that judges a backend
 const STEP: f64 = 0.05; // by which an answer moves that quantile
 const DOUBT: f64 = 3.0; // times the high answer time: a delivery is doubted whatever its backend does
-const PRESSED: f64 = 0.4; // of the latency objective: the work out at a backend may fill so much of it
+const PRESSED: f64 = 0.2; // of the latency objective: the work out at a backend may fill so much of it
 const RATE_SPAN: f64 = 2.0; // answers are counted over about so long
 const ASIDE: (f64, f64) = (1.0, 8.0); // a backend set aside: first and longest time
 const REPEATS: (f64, f64) = (0.1, 20.0); // re-deliveries: earned by a first delivery, and saved at most
@@ -112,14 +112,16 @@
     aside: Option<Aside>,
     busy_until: f64,
     sent: VecDeque<f64>,
-    good: f64,
+    good: f64, // answers, fading over the span
     good_at: f64,
+    known: f64, // since when we have it on the list as it is
 }
 
 impl Backend {
     /// Good answers a second that we have had from it lately.
     fn rate(&self, now: f64) -> f64 {
-        self.good * ((self.good_at - now) / RATE_SPAN).exp() / RATE_SPAN
+        let seen = RATE_SPAN * (1.0 - ((self.known - now - RATE_SPAN / 20.0) / RATE_SPAN).exp());
+        self.good * ((self.good_at - now) / RATE_SPAN).exp() / seen
     }
     /// It holds our deliveries and has said nothing for longer than they can explain.
     fn quiet(&self, now: f64, high: f64) -> bool {
@@ -198,8 +200,9 @@
                 old => {
                     let (out, sent) =
                         old.map_or((0, VecDeque::new()), |b| (b.out, std::mem::take(&mut b.sent)));
-                    let (high, quiet_since, good_at) = (1.0, now, now);
-                    let b = Backend { is, out, sent, high, quiet_since, good_at, ..Backend::default() };
+                    let (high, quiet_since, good_at, known) = (1.0, now, now, now);
+                    let b =
+                        Backend { is, out, sent, high, quiet_since, good_at, known, ..Backend::default() };
                     self.backends.insert(is.tgt, b);
                 }
             }
@@ -690,7 +693,7 @@
             Ending::Succeeded => {
                 *high = toward(*high, o.took > *high);
                 b.high = toward(b.high, o.took > *high * b.high).clamp(0.3, 5.0);
-                b.good = b.rate(now) * RATE_SPAN + 1.0;
+                b.good = b.good * ((b.good_at - now) / RATE_SPAN).exp() + 1.0;
                 (b.good_at, b.quiet_since, b.fails) = (now, now, 0);
                 if b.aside.take().is_some() {
                     self.errands.log.push(format!("backend {} back: answered in {:.3} s", o.tgt, o.took));
