Bound all work out when answers slow down all over; one bell for a customer

Told from slow backends by the two doors' view: all slow at once, after a burst, and quick again once less was sent. Change: a backend takes what its answers clear in 0.2 of the objective; when the median answer time is 1.5 times its least of late, all that is out is bounded likewise. Harm: a fleet that is slow for another reason is held to what it clears.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,14 +19,17 @@
 const DEADLINE: f64 = 0.04; // of the latency objective: the longest wait for the counter
 const MISSES: u32 = 4; // calls past the deadline, none answered since: the counter is silent
 const RECALL: f64 = 0.25; // a silent counter is read this often
-const PACE: (f64, f64, f64) = (5.0, 0.25, 400.0); // counter calls a second: least, more by an answer, most
-const SLOWER: f64 = 2.5; // less by a missed call
+const PACE: (f64, f64) = (5.0, 400.0); // counter calls a second: least and most
+const PACE_STEP: (f64, f64) = (0.25, 2.5); // more by an answer, less by a missed call
 const PACE_SPAN: f64 = 0.2; // calls saved up
 const IDLE: f64 = 12.0; // a customer not seen for so long is dropped
 const HIGH: f64 = 0.95; // the quantile of answer times that judges a backend
 const STEP: f64 = 0.05; // by which an answer moves that quantile
 const DOUBT: f64 = 3.0; // times the high answer time: a delivery is doubted whatever its backend does
 const PRESSED: f64 = 0.2; // of the latency objective: the work out at a backend may fill so much of it
+const SLOWED: f64 = 1.5; // times the least median of late: answers slow down all over
+const DRIFT: f64 = 0.0002; // by which that least forgets, an answer
+const BUSY: f64 = 0.1; // a backend that turned us away is left alone so long
 const RATE_SPAN: f64 = 2.0; // answers are counted over about so long
 const ASIDE: (f64, f64) = (1.0, 8.0); // a backend set aside: first and longest time
 const REPEATS: (f64, f64) = (0.1, 20.0); // re-deliveries: earned by a first delivery, and saved at most
@@ -56,16 +59,12 @@
     fn out(&self) -> usize {
         self.deliveries.iter().filter(|d| d.ending.is_none()).count()
     }
-    /// The first delivery not known never to have run.
-    fn may_have_run(&self) -> Option<&Delivery> {
-        self.deliveries.iter().find(|d| !d.ending.is_some_and(Ending::never_ran))
-    }
 }
 
 // ======== for one customer, while it is seen
 #[derive(Clone, Copy)]
 enum Errand {
-    Lease { units: f64, paid: f64, spill: f64 },
+    Lease { units: f64, spill: f64 },
     Lift { level: f64 },
     Return,
 }
@@ -73,6 +72,7 @@
 struct Call {
     series: u32,
     add: f64,
+    paid: f64, // of it, what was owed
     what: Errand,
 }
 
@@ -93,6 +93,7 @@
     calls: VecDeque<Call>,
     waiting: Vec<Inv>,
     used: f64,
+    bell: f64,
 }
 
 // ======== for one backend
@@ -149,6 +150,8 @@
     accounts: BTreeMap<Customer, Account>,
     backends: BTreeMap<Tgt, Backend>,
     high: Vec<f64>, // by operation, over all backends
+    half: Vec<f64>, // the median, and the least it has been of late
+    base: Vec<f64>,
     repeats: f64,
     misses: u32,
     heard: f64,
@@ -172,15 +175,16 @@
         (rules, may): (StartAndStop, Deliveries),
         counter: Option<CounterLimits>,
     ) -> Door {
-        let high = operations.iter().map(|o| o.latency_objective / 4.0).collect();
+        let high: Vec<f64> = operations.iter().map(|o| o.latency_objective / 4.0).collect();
+        let (half, base) = (high.clone(), high.clone());
         let (invs, accounts, backends) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         let (rng, bells, errands) = (ChaCha8Rng::seed_from_u64(seed), BTreeMap::new(), Errands::default());
         let (repeats, misses, heard, silent, recall, rung) = (REPEATS.1 / 2.0, 0, 0.0, false, 0.0, 0);
-        let (pace, paced, calls, again, idle) = (PACE.2, 0.0, 0.0, vec![], vec![]);
+        let (pace, paced, calls, again, idle) = (PACE.1, 0.0, 0.0, vec![], vec![]);
         #[rustfmt::skip]
         return Door {
-            rng, place, operations, plans, rules, may, counter, invs, accounts, backends, high, repeats,
-            misses, heard, silent, recall, pace, paced, calls, again, idle, bells, rung, errands,
+            rng, place, operations, plans, rules, may, counter, invs, accounts, backends, high, half, base,
+            repeats, misses, heard, silent, recall, pace, paced, calls, again, idle, bells, rung, errands,
         };
     }
 
@@ -236,13 +240,7 @@
             return;
         }
         // Unanswered may have been added: what it paid is taken as paid, so that nothing is added twice.
-        if result == Counted::Unreached {
-            match call.what {
-                Errand::Lease { paid, .. } => a.settle += paid,
-                Errand::Return => a.settle += call.add,
-                Errand::Lift { .. } => {}
-            }
-        }
+        a.settle += if result == Counted::Unreached { call.paid } else { 0.0 };
         for inv in std::mem::take(&mut a.waiting) {
             if let Some(v) = self.invs.get_mut(&inv) {
                 v.counter_until = now;
@@ -260,7 +258,14 @@
             self.heard = if self.heard == 0.0 { now } else { self.heard };
             let longest = self.counter.map_or(0.0, |c| c.timeout).min((ask.until - now) / 4.0);
             let deadline = longest.min(DEADLINE * self.operations[ask.operation].latency_objective);
-            self.account(now, ask);
+            if !self.accounts.contains_key(&ask.customer) {
+                let (p, doors) = (&self.plans[ask.plan], ask.doors.max(1) as f64);
+                let (slice, ceiling) = (p.burst / doors, p.ceiling_slack / doors / 2.0);
+                let (plan, slice_at, used, bell) = (ask.plan, now, now, f64::INFINITY);
+                let a = Account { plan, doors, slice, slice_at, ceiling, used, bell, ..Account::default() };
+                self.accounts.insert(ask.customer, a);
+                self.look_after(ask.customer, now + IDLE);
+            }
             let (ask, came, counter_until) = (*ask, now, now + deadline);
             self.invs.insert(inv, Invocation { ask, came, counter_until, ..Invocation::default() });
             self.ring(counter_until, Bell::Inv(inv));
@@ -280,7 +285,7 @@
             a.out = a.out.saturating_sub(1);
             if let Some(units) = o.true_units {
                 a.settle += units - ask.units;
-                self.ring(now + LAPSE, Bell::Customer(ask.customer));
+                self.look_after(ask.customer, now + LAPSE);
             }
         }
         self.judge(now, ask.operation, sent, o);
@@ -327,7 +332,8 @@
         let op = &self.operations[v.ask.operation];
         let (out, tries, left) = (v.out(), v.deliveries.len(), v.ask.until - now);
         let (operation, customer, objective) = (v.ask.operation, v.ask.customer, op.latency_objective);
-        let ran = v.may_have_run().map(|d| (d.tgt, d.sent));
+        let mut may_have_run = v.deliveries.iter().filter(|d| !d.ending.is_some_and(Ending::never_ran));
+        let ran = may_have_run.next().map(|d| (d.tgt, d.sent));
         let may_repeat = match (ran, op.effect) {
             (None, _) | (_, Effect::Idempotent) => true,
             (Some((_, sent)), Effect::Tokened { window, .. }) => now < sent + window,
@@ -341,8 +347,8 @@
         let late = now - v.came > objective;
         if out > 0 {
             // A delivery is doubted when its backend is quiet, or when its answer is long overdue.
-            let (i, d) =
-                v.deliveries.iter().enumerate().rfind(|(_, d)| d.ending.is_none()).expect("one is out");
+            let i = v.deliveries.iter().rposition(|d| d.ending.is_none()).expect("one is out");
+            let d = &v.deliveries[i];
             let quiet = self.backends.get(&d.tgt).is_some_and(|b| b.quiet(now, self.high[operation]));
             if now < v.look || op.effect != Effect::Idempotent || late || tries >= self.may.most {
                 return Verdict::NotYet;
@@ -351,10 +357,8 @@
                 return self.look_again(now, inv, self.high[operation] / 2.0);
             }
             if !self.may.second_copies {
-                if self.may.cancels {
-                    self.errands.cancels.push((inv, i));
-                    self.invs.get_mut(&inv).expect("held").look = f64::INFINITY;
-                }
+                self.errands.cancels.extend(self.may.cancels.then_some((inv, i)));
+                self.invs.get_mut(&inv).expect("held").look = f64::INFINITY;
                 return Verdict::NotYet;
             }
         } else if left <= ANSWER_BY
@@ -370,9 +374,7 @@
         let full = tries == 0 && open > 0 && a.out as f64 >= (open as f64 / a.doors).ceil();
         let Some(tgt) = (if full { None } else { self.pick(now, operation, &tried, bound) }) else {
             if out == 0 && (now - came > objective / 4.0 || !full) {
-                if tries == 0 {
-                    self.give_back(now, inv);
-                }
+                self.give_back(now, inv);
                 return if may_throttle { self.throttle(objective) } else { Verdict::Error };
             }
             return self.look_again(now, inv, objective / 50.0);
@@ -401,9 +403,8 @@
     }
 
     fn throttle(&self, seconds: f64) -> Verdict {
-        Verdict::Throttle {
-            retry_after: self.may.retry_after.map(|most| seconds.clamp(0.05, most.max(0.05))),
-        }
+        let retry_after = self.may.retry_after.map(|most| seconds.max(0.05).min(most));
+        Verdict::Throttle { retry_after }
     }
 
     fn answer(&mut self, inv: Inv, verdict: Verdict) -> Answer {
@@ -433,17 +434,6 @@
 
     // ======== quotas
 
-    fn account(&mut self, now: f64, ask: &Ask) {
-        if !self.accounts.contains_key(&ask.customer) {
-            let (p, doors) = (&self.plans[ask.plan], ask.doors.max(1) as f64);
-            let (slice, ceiling) = (p.burst / doors, p.ceiling_slack / doors / 2.0);
-            let (plan, slice_at, used) = (ask.plan, now, now);
-            let a = Account { plan, doors, slice, slice_at, ceiling, used, ..Account::default() };
-            self.accounts.insert(ask.customer, a);
-            self.ring(now + IDLE, Bell::Customer(ask.customer));
-        }
-    }
-
     /// The quota's word: spend from the lease, lease anew, refuse when the count is full; none is yes.
     fn quota(&mut self, now: f64, inv: Inv) -> Option<Verdict> {
         let v = &self.invs[&inv];
@@ -455,11 +445,9 @@
         if a.slice >= most {
             a.sliced = 0.0; // the slice has regained what it spent: nothing is owed
         }
-        if p.ceiling_rate > 0.0 {
-            // A hard ceiling is held by an even share of its own, empty at start: a restart fills nothing.
-            let (even, most) = (p.ceiling_rate / a.doors, p.ceiling_burst / a.doors);
-            a.ceiling = (a.ceiling + even * (now - a.slice_at)).min(most);
-        }
+        // A hard ceiling is held by an even share of its own, empty at start: a restart fills nothing.
+        let ceiling = a.ceiling + p.ceiling_rate / a.doors * (now - a.slice_at);
+        a.ceiling = ceiling.min(p.ceiling_burst / a.doors);
         (a.slice_at, a.used) = (now, now);
         if p.ceiling_rate > 0.0 && a.ceiling < units {
             let short = (units - a.ceiling) * a.doors / p.ceiling_rate;
@@ -494,11 +482,11 @@
                 a.slice -= units;
                 a.sliced += units;
                 a.ceiling -= units;
-                self.ring(now + LAPSE, Bell::Customer(customer));
+                self.look_after(customer, now + LAPSE);
             }
             if self.silent && now >= self.recall && idle && self.counter.is_some() {
                 self.recall = now + RECALL;
-                self.call(customer, series, 0.0, Errand::Return);
+                self.call(customer, series, (0.0, 0.0), Errand::Return);
             } else if past && !self.silent && !idle {
                 self.missed(now);
             }
@@ -518,13 +506,13 @@
         let units = need.max(batch);
         (a.settle, a.sliced) = (0.0, 0.0);
         a.waiting.push(inv);
-        self.call(customer, series, units + owed + spill, Errand::Lease { units, paid: owed, spill });
+        self.call(customer, series, (units + owed + spill, owed), Errand::Lease { units, spill });
         Some(Verdict::NotYet)
     }
 
-    fn call(&mut self, customer: Customer, series: u32, add: f64, what: Errand) {
-        let Some(a) = self.accounts.get_mut(&customer) else { return };
-        a.calls.push_back(Call { series, add, what });
+    fn call(&mut self, customer: Customer, series: u32, (add, paid): (f64, f64), what: Errand) {
+        let a = self.accounts.get_mut(&customer).expect("has an account");
+        a.calls.push_back(Call { series, add, paid, what });
         self.calls -= 1.0;
         let name = CountName { customer, series };
         self.errands.counter.push(CounterCall { name, add, lives: NAME_LIFE });
@@ -547,7 +535,7 @@
         let lag = (level - before).max(0.0);
         let (mut back, mut lift) = (0.0, 0.0);
         match call.what {
-            Errand::Lease { units, spill, .. } => {
+            Errand::Lease { units, spill } => {
                 (lift, back) = ((lag - spill).max(0.0), (spill - lag).max(0.0));
                 let over = total + lift - back - p.burst - regained;
                 let fits = (units - over.max(0.0)).max(0.0);
@@ -561,45 +549,51 @@
         if current {
             a.seen = Some(total + lift - back);
         }
-        let (lapses, leased) = (a.lapses, a.lease > 0.0);
+        let lapses = a.lapses;
         if lift > small || lift > 0.0 && lost {
-            self.call(name.customer, call.series, lift, Errand::Lift { level });
+            self.call(name.customer, call.series, (lift, 0.0), Errand::Lift { level });
         }
         if back > 0.01 {
-            self.call(name.customer, call.series, -back, Errand::Return);
-        }
-        if leased {
-            self.ring(lapses, Bell::Customer(name.customer));
+            self.call(name.customer, call.series, (-back, -back), Errand::Return);
         }
+        self.look_after(name.customer, lapses);
         self.again.extend(waiting);
     }
 
     /// Units of an invocation that was never sent on serve the customer's next.
     fn give_back(&mut self, now: f64, inv: Inv) {
-        let ask = &self.invs[&inv].ask;
-        let Some(a) = self.accounts.get_mut(&ask.customer) else { return };
+        let (ask, sent) = (&self.invs[&inv].ask, !self.invs[&inv].deliveries.is_empty());
+        let Some(a) = self.accounts.get_mut(&ask.customer).filter(|_| !sent) else { return };
         a.lease = ask.units + if now < a.lapses { a.lease } else { 0.0 };
         a.ceiling += ask.units;
         a.lapses = now + LAPSE;
-        self.ring(now + LAPSE, Bell::Customer(ask.customer));
+        self.look_after(ask.customer, now + LAPSE);
+    }
+
+    /// One bell for a customer, at the earliest time asked for.
+    fn look_after(&mut self, customer: Customer, at: f64) {
+        if let Some(a) = self.accounts.get_mut(&customer).filter(|a| at < a.bell) {
+            a.bell = at;
+            self.ring(at, Bell::Customer(customer));
+        }
     }
 
     /// A lease that lapsed goes back to the count; a customer not seen for long is dropped.
     fn lapse(&mut self, now: f64, customer: Customer) {
-        let Some(a) = self.accounts.get_mut(&customer) else { return };
+        let Some(a) = self.accounts.get_mut(&customer).filter(|a| now >= a.bell) else { return };
+        a.bell = f64::INFINITY;
         let (lapsed, quiet, series) = (now >= a.lapses, a.calls.is_empty(), a.series);
+        let next = if lapsed { (a.used + IDLE).max(now + LAPSE) } else { a.lapses };
         let add = a.settle + a.sliced - a.lease;
         let free = !self.silent && self.calls > self.pace * PACE_SPAN / 2.0;
         if lapsed && quiet && add.abs() > 0.5 && free && self.counter.is_some() {
             (a.lease, a.settle, a.sliced) = (0.0, 0.0, 0.0);
-            self.call(customer, series, add, Errand::Return);
+            self.call(customer, series, (add, add), Errand::Return);
         } else if now >= a.used + IDLE && quiet && a.out == 0 && a.waiting.is_empty() {
             self.accounts.remove(&customer);
             self.idle.push(customer);
-        } else if lapsed {
-            let at = (a.used + IDLE).max(now + LAPSE);
-            self.ring(at, Bell::Customer(customer));
         }
+        self.look_after(customer, next);
     }
 
     fn heard(&mut self, now: f64) {
@@ -608,12 +602,12 @@
             self.errands.log.push(line);
         }
         (self.silent, self.misses, self.heard) = (false, 0, now);
-        self.pace = (self.pace + PACE.1).min(PACE.2);
+        self.pace = (self.pace + PACE_STEP.0).min(PACE.1);
     }
 
     fn missed(&mut self, now: f64) {
         self.misses += 1;
-        self.pace = (self.pace - SLOWER).max(PACE.0);
+        self.pace = (self.pace - PACE_STEP.1).max(PACE.0);
         if !self.silent && self.misses >= MISSES && now - self.heard > PACE_SPAN {
             (self.silent, self.recall) = (true, now + RECALL);
             let (n, since) = (self.misses, self.heard);
@@ -632,8 +626,9 @@
         let (high, effect) = (self.high[op], self.operations[op].effect);
         let span = PRESSED * self.operations[op].latency_objective;
         let all_out: usize = ready().map(|b| b.out).sum();
-        if high > span && all_out as f64 > (rate * span).max(1.0) {
-            return None; // slow answers all over: no more out than they would clear
+        let clears = rate * span.max(2.0 * self.base[op]);
+        if self.half[op] > SLOWED * self.base[op] && all_out as f64 > clears.max(1.0) {
+            return None; // answers slow down all over: no more out than they would clear
         }
         let (mut good, mut poor, mut pressed) = (vec![], vec![], false);
         for b in ready() {
@@ -683,41 +678,43 @@
     }
 
     /// What an outcome says of its backend.
-    fn judge(&mut self, now: f64, operation: usize, sent: f64, o: &Outcome) {
-        let high = &mut self.high[operation];
+    fn judge(&mut self, now: f64, op: usize, sent: f64, o: &Outcome) {
+        let (high, half, base) = (&mut self.high[op], &mut self.half[op], &mut self.base[op]);
         let Some(b) = self.backends.get_mut(&o.tgt) else { return };
-        let toward =
-            |q: f64, over: bool| q * if over { 1.0 + STEP * HIGH } else { 1.0 - STEP * (1.0 - HIGH) };
         b.out = b.out.saturating_sub(1);
         match o.ending {
             Ending::Succeeded => {
-                *high = toward(*high, o.took > *high);
-                b.high = toward(b.high, o.took > *high * b.high).clamp(0.3, 5.0);
+                toward(high, o.took, HIGH);
+                toward(half, o.took, 0.5);
+                toward(&mut b.high, o.took / *high, HIGH);
+                b.high = b.high.clamp(0.3, 5.0);
+                *base = (*base * (1.0 + DRIFT)).min(*half);
                 b.good = b.good * ((b.good_at - now) / RATE_SPAN).exp() + 1.0;
                 (b.good_at, b.quiet_since, b.fails) = (now, now, 0);
                 if b.aside.take().is_some() {
                     self.errands.log.push(format!("backend {} back: answered in {:.3} s", o.tgt, o.took));
                 }
             }
-            Ending::TurnedAway => (b.busy_until, b.quiet_since) = (now + 0.1, now),
+            Ending::TurnedAway => (b.busy_until, b.quiet_since) = (now + BUSY, now),
             Ending::NotSent => {}
             _ => {
                 // No answer tells little if others were answered since it was sent.
                 let silent = matches!(o.ending, Ending::TimedOut | Ending::Cancelled);
                 b.fails += u32::from(!silent || b.good_at < sent);
-                if b.fails >= 2 || o.ending == Ending::Broken {
-                    if b.aside.is_none() {
-                        let line =
-                            format!("backend {} aside: {} bad in a row, last {:?}", o.tgt, b.fails, o.ending);
-                        self.errands.log.push(line);
-                    }
-                    // Only what was sent since it was set aside says more than we knew.
-                    if b.aside.is_none_or(|a| sent > a.since) {
-                        let span = b.aside.map_or(ASIDE.0, |a| (a.span * 2.0).min(ASIDE.1));
-                        b.aside = Some(Aside { since: now, until: now + span, span });
-                    }
+                let enough = b.fails >= 2 || o.ending == Ending::Broken;
+                // Only what was sent since it was set aside says more than we knew.
+                if enough && b.aside.is_none_or(|a| sent > a.since) {
+                    let span = b.aside.map_or(ASIDE.0, |a| (a.span * 2.0).min(ASIDE.1));
+                    b.aside = Some(Aside { since: now, until: now + span, span });
+                    let line = format!("{} bad in a row, last {:?}", b.fails, o.ending);
+                    self.errands.log.push(format!("backend {} aside for {span} s: {line}", o.tgt));
                 }
             }
         }
     }
 }
+
+/// Moves an estimate of a quantile by one value.
+fn toward(estimate: &mut f64, value: f64, quantile: f64) {
+    *estimate *= if value > *estimate { 1.0 + STEP * quantile } else { 1.0 - STEP * (1.0 - quantile) };
+}
