--- a/src/decide.rs
+++ b/src/decide.rs
@@ -373,7 +373,7 @@
         // A cap on deliveries out at once is held by an even share, one at least.
         let full = tries == 0 && open > 0 && a.out as f64 >= (open as f64 / a.doors).ceil();
         let Some(tgt) = (if full { None } else { self.pick(now, operation, &tried, bound) }) else {
-            if out == 0 && (now - came > objective / 4.0 || !full) {
+            if out == 0 && (now - came > if full { objective / 4.0 } else { objective / 10.0 }) {
                 self.give_back(now, inv);
                 return if may_throttle { self.throttle(objective) } else { Verdict::Error };
             }
