--- a/src/decide.rs
+++ b/src/decide.rs
@@ -26,7 +26,7 @@
 const HIGH: f64 = 0.95; // the quantile of answer times that judges a backend
 const STEP: f64 = 0.05; // by which an answer moves that quantile
 const DOUBT: f64 = 3.0; // times the high answer time: a delivery is doubted whatever its backend does
-const PRESSED: f64 = 0.2; // of the latency objective: the work out at a backend may fill so much of it
+const PRESSED: f64 = 0.15; // of the latency objective: the work out at a backend may fill so much of it
 const SLOWED: f64 = 1.5; // times the least median of late: answers slow down all over
 const DRIFT: f64 = 0.0002; // by which that least forgets, an answer
 const BUSY: f64 = 0.1; // a backend that turned us away is left alone so long
@@ -626,7 +626,7 @@
         let (high, effect) = (self.high[op], self.operations[op].effect);
         let span = PRESSED * self.operations[op].latency_objective;
         let all_out: usize = ready().map(|b| b.out).sum();
-        let clears = rate * span.max(2.0 * self.base[op]);
+        let clears = rate * span.max(SLOWED * self.base[op]);
         if self.half[op] > SLOWED * self.base[op] && all_out as f64 > clears.max(1.0) {
             return None; // answers slow down all over: no more out than they would clear
         }
