Trace tests; a lift counts the units leased with it; small calls wait

Cause, found by a trace test: a count lifted after a flush or a window's edge was taken back by the units leased in the same moment, so customers got them twice. Corrections under half a unit now wait for the next call. Settings that no decision uses are no longer read.

--- a/drill/src/facts.rs
+++ b/drill/src/facts.rs
@@ -6,9 +6,6 @@
 
 #[derive(Deserialize)]
 struct Told {
-    balancers: usize,
-    slot_no: usize,
-    zone: usize,
     discovery: String,
     caps: Caps,
     classes: Vec<Class>,
@@ -30,10 +27,8 @@
 #[derive(Deserialize)]
 struct Class {
     aim_us: f64,
-    give_up_us: f64,
     group: String,
     idempotency: String,
-    gain: f64,
     window_us: f64,
 }
 
@@ -41,15 +36,12 @@
 struct Extra {
     counter: bool,
     counter_timeout_us: f64,
-    max_units: f64,
 }
 
 #[derive(Deserialize)]
 struct Rules {
     cold_from: f64,
     fall_us: f64,
-    overload_factor: f64,
-    stop_sending_within_us: f64,
     warm_after_us: f64,
 }
 
@@ -83,8 +75,7 @@
         "fragile" => Effect::NonIdempotent,
         other => return Err(format!("classes[{i}].idempotency: unknown value '{other}'")),
     };
-    let (latency_objective, integration_timeout) = (c.aim_us / 1e6, c.give_up_us / 1e6);
-    Ok(Operation { latency_objective, integration_timeout, effect, billed_value: c.gain })
+    Ok(Operation { latency_objective: c.aim_us / 1e6, effect })
 }
 
 pub fn start(seed: u64, json: &[u8]) -> Result<Start, Malformed> {
@@ -109,13 +100,9 @@
             ceiling_slack: t.ceiling_slack,
         })
         .collect();
-    let place =
-        Place { door: told.slot_no, doors: told.balancers.max(1), zone: told.zone, peers: told.caps.peers };
-    let rules = StartAndStop {
-        drain_grace: told.rules.stop_sending_within_us / 1e6,
+    let rules = ColdStart {
         cold_from: told.rules.cold_from,
         warm_after: told.rules.warm_after_us / 1e6,
-        overload_multiple: told.rules.overload_factor,
         fall_after: told.rules.fall_us / 1e6,
     };
     let may = Deliveries {
@@ -124,10 +111,9 @@
         cancels: told.caps.cancel,
         retry_after: told.caps.retry_after.then_some(told.caps.max_retry_after_us / 1e6),
     };
-    let limits =
-        CounterLimits { timeout: told.extra.counter_timeout_us / 1e6, largest_units: told.extra.max_units };
+    let limits = CounterLimits { timeout: told.extra.counter_timeout_us / 1e6 };
     let counter = told.extra.counter.then_some(limits);
     let (n, m) = (operations.len(), plans.len());
-    let door = Door::new((seed, place), (operations, plans), (rules, may), counter);
+    let door = Door::new((seed, told.caps.peers), (operations, plans), (rules, may), counter);
     Ok(Start { door, operations: n, plans: m, ask_for_list })
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,6 +16,7 @@
 const LAPSE: f64 = 1.0; // an unspent lease goes back
 const BATCH: f64 = 1.0 / 16.0; // of the burst, taken at once while more than half of the store is there
 const SPILL: f64 = 1.0 / 8.0; // of the burst: smaller lags of the count are left alone
+const WORTH: f64 = 0.5; // units: what is less waits for the next call
 const DEADLINE: f64 = 0.04; // of the latency objective: the longest wait for the counter
 const MISSES: u32 = 4; // calls past the deadline, none answered since: the counter is silent
 const RECALL: f64 = 0.25; // a silent counter is read this often
@@ -140,10 +141,10 @@
 // ======== for the instance
 pub struct Door {
     rng: ChaCha8Rng,
-    place: Place,
+    peers: bool,
     operations: Vec<Operation>,
     plans: Vec<Plan>,
-    rules: StartAndStop,
+    rules: ColdStart,
     may: Deliveries,
     counter: Option<CounterLimits>,
     invs: BTreeMap<Inv, Invocation>,
@@ -170,9 +171,9 @@
 
 impl Door {
     pub fn new(
-        (seed, place): (u64, Place),
+        (seed, peers): (u64, bool),
         (operations, plans): (Vec<Operation>, Vec<Plan>),
-        (rules, may): (StartAndStop, Deliveries),
+        (rules, may): (ColdStart, Deliveries),
         counter: Option<CounterLimits>,
     ) -> Door {
         let high: Vec<f64> = operations.iter().map(|o| o.latency_objective / 4.0).collect();
@@ -183,7 +184,7 @@
         let (pace, paced, calls, again, idle) = (PACE.1, 0.0, 0.0, vec![], vec![]);
         #[rustfmt::skip]
         return Door {
-            rng, place, operations, plans, rules, may, counter, invs, accounts, backends, high, half, base,
+            rng, peers, operations, plans, rules, may, counter, invs, accounts, backends, high, half, base,
             repeats, misses, heard, silent, recall, pace, paced, calls, again, idle, bells, rung, errands,
         };
     }
@@ -192,7 +193,7 @@
 
     /// The list, or what changed in it; `whole` replaces it, so what it lacks is gone.
     pub fn listed(&mut self, now: f64, whole: bool, entries: &[Listed]) {
-        if self.place.peers && self.rung == 0 {
+        if self.peers && self.rung == 0 {
             self.ring(now + WORDS, Bell::Words);
         }
         if whole {
@@ -549,11 +550,12 @@
         if current {
             a.seen = Some(total + lift - back);
         }
+        a.settle -= if back > WORTH { 0.0 } else { back };
         let lapses = a.lapses;
-        if lift > small || lift > 0.0 && lost {
-            self.call(name.customer, call.series, (lift, 0.0), Errand::Lift { level });
+        if lift > small || lift > WORTH && lost {
+            self.call(name.customer, call.series, (lift, 0.0), Errand::Lift { level: level + call.add });
         }
-        if back > 0.01 {
+        if back > WORTH {
             self.call(name.customer, call.series, (-back, -back), Errand::Return);
         }
         self.look_after(name.customer, lapses);
@@ -586,7 +588,7 @@
         let next = if lapsed { (a.used + IDLE).max(now + LAPSE) } else { a.lapses };
         let add = a.settle + a.sliced - a.lease;
         let free = !self.silent && self.calls > self.pace * PACE_SPAN / 2.0;
-        if lapsed && quiet && add.abs() > 0.5 && free && self.counter.is_some() {
+        if lapsed && quiet && add.abs() > WORTH && free && self.counter.is_some() {
             (a.lease, a.settle, a.sliced) = (0.0, 0.0, 0.0);
             self.call(customer, series, (add, add), Errand::Return);
         } else if now >= a.used + IDLE && quiet && a.out == 0 && a.waiting.is_empty() {
--- a/src/types.rs
+++ b/src/types.rs
@@ -23,9 +23,7 @@
 #[derive(Clone, Debug)]
 pub struct Operation {
     pub latency_objective: f64,
-    pub integration_timeout: f64,
     pub effect: Effect,
-    pub billed_value: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -39,13 +37,11 @@
     pub ceiling_slack: f64,
 }
 
-/// The figures of the rules on drains and cold starts.
+/// The figures of the rule on cold starts. (Drains need none: nothing new goes once a drain is told.)
 #[derive(Clone, Copy, Debug)]
-pub struct StartAndStop {
-    pub drain_grace: f64,
+pub struct ColdStart {
     pub cold_from: f64,
     pub warm_after: f64,
-    pub overload_multiple: f64,
     pub fall_after: f64,
 }
 
@@ -61,15 +57,6 @@
 #[derive(Clone, Copy, Debug)]
 pub struct CounterLimits {
     pub timeout: f64,
-    pub largest_units: f64,
-}
-
-#[derive(Clone, Copy, Debug)]
-pub struct Place {
-    pub door: usize,
-    pub doors: usize,
-    pub zone: usize,
-    pub peers: bool,
 }
 
 /// What an invocation says of itself.
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,454 @@
+mod help;
+use expect_test::{expect, Expect};
+use help::*;
+use quillramp::types::*;
+use Counted::*;
+use Ending::*;
+
+fn idempotent(backends: usize) -> Desk {
+    desk(vec![operation(Effect::Idempotent)], vec![plan()], may(), backends)
+}
+
+fn of_effect(effect: Effect, backends: usize) -> Desk {
+    desk(vec![operation(effect)], vec![plan()], may(), backends)
+}
+
+fn check(desk: &mut Desk, trace: Expect) {
+    trace.assert_eq(&desk.told());
+}
+
+#[test]
+fn a_lease_is_spent_locally_and_what_lapses_goes_back() {
+    let mut d = desk(vec![operation(Effect::Idempotent)], vec![Plan { burst: 48.0, ..plan() }], may(), 2);
+    d.comes(30.0, 0, 1.0);
+    d.counter(30.01);
+    d.comes(30.1, 0, 1.0);
+    d.wait(31.02);
+    check(
+        &mut d,
+        expect![[r#"
+        30.000 0 comes: not yet
+        30.000 count 1: +3.00
+        30.010 0: to 0
+        30.100 1 comes: to 1
+        31.020 count 1: -1.00
+        31.020 1: to 0
+    "#]],
+    );
+}
+
+#[test]
+fn one_call_in_flight_serves_all_that_wait() {
+    let mut d = idempotent(4);
+    d.comes(30.0, 0, 1.0);
+    d.comes(30.001, 0, 1.0);
+    d.counter(30.01);
+    d.counter(30.02);
+    check(
+        &mut d,
+        expect![[r#"
+        30.000 0 comes: not yet
+        30.000 count 1: +1.00
+        30.001 1 comes: not yet
+        30.010 0: to 2
+        30.010 count 1: +1.00
+        30.010 1: to 0
+    "#]],
+    );
+}
+
+#[test]
+fn a_full_count_is_refused_at_once_then_locally_until_the_store_refills() {
+    let mut d = idempotent(2);
+    d.counts.insert(1, 7.0); // the allowance is 8
+    d.comes(30.0, 0, 3.0);
+    d.counter(30.0);
+    d.comes(30.5, 0, 3.0);
+    d.wait(31.0);
+    d.comes(31.6, 0, 1.0);
+    check(
+        &mut d,
+        expect![[r#"
+        30.000 0 comes: not yet
+        30.000 count 1: +3.00
+        30.000 count 1: -2.00
+        30.000 0: throttled, 1.00 s
+        30.500 1 comes: throttled, 0.50 s
+        31.000 count 1: -1.00
+        31.600 2 comes: not yet
+        31.600 count 1: +1.00
+    "#]],
+    );
+}
+
+#[test]
+fn silence_falls_back_to_the_even_slice_and_recalls() {
+    let mut d = idempotent(4);
+    for i in 0..8 {
+        let t = 30.0 + f64::from(i) * 0.1;
+        d.comes(t, 0, 1.0);
+        d.wait(t + 0.04);
+        d.no_counter(t + 0.05, Unanswered);
+    }
+    d.comes(31.0, 0, 1.0);
+    d.counter(31.01);
+    check(
+        &mut d,
+        expect![[r#"
+        30.000 0 comes: not yet
+        30.000 count 1: +1.00
+        30.040 0: to 2
+        30.100 1 comes: not yet
+        30.100 count 1: +2.00
+        30.140 1: to 0
+        30.200 2 comes: not yet
+        30.200 count 1: +2.00
+        30.240 2: to 3
+        30.240 log: counter silent: 5 calls missed since 30.00; even slices
+        30.300 3 comes: to 1
+        30.400 4 comes: throttled, 0.64 s
+        30.500 5 comes: throttled, 0.54 s
+        30.500 count 1: +0.00
+        30.600 6 comes: throttled, 0.44 s
+        30.700 7 comes: throttled, 0.34 s
+        31.000 8 comes: throttled, 0.05 s
+        31.000 count 1: +0.00
+        31.010 count 1: +2.00
+        31.010 log: counter answers again after 1.01 s; leases resume
+    "#]],
+    );
+}
+
+/// Small quotas over many doors: an even slice holds less than one invocation, and gave nothing at all.
+#[test]
+fn a_full_slice_goes_into_debt_for_one_invocation() {
+    let mut d = idempotent(4);
+    d.comes(30.0, 0, 6.0);
+    d.no_counter(30.03, Unreached);
+    d.comes(30.1, 0, 1.0);
+    d.no_counter(30.13, Unreached);
+    check(
+        &mut d,
+        expect![[r#"
+        30.000 0 comes: not yet
+        30.000 count 1: +6.00
+        30.030 0: to 2
+        30.100 1 comes: not yet
+        30.100 count 1: +7.00
+        30.130 1: throttled, 2.00 s
+    "#]],
+    );
+}
+
+/// A flushed counter, or one that came back empty, gave every customer a second burst.
+#[test]
+fn a_forgotten_count_is_lifted_once() {
+    let mut d = idempotent(4);
+    d.counts.insert(1, 12.0);
+    d.comes(33.0, 0, 1.0);
+    d.counter(33.0);
+    d.counts.insert(1, 0.0);
+    d.comes(33.1, 0, 2.0);
+    d.counter(33.1);
+    d.counts.insert(1, 0.0);
+    d.comes(33.1, 0, 1.0);
+    d.counter(33.1);
+    check(
+        &mut d,
+        expect![[r#"
+            33.000 0 comes: not yet
+            33.000 count 1: +1.00
+            33.000 0: to 2
+            33.100 1 comes: throttled, 0.40 s
+            33.100 2 comes: not yet
+            33.100 count 1: +1.00
+            33.100 count 1: +13.00
+            33.100 2: to 0
+        "#]],
+    );
+}
+
+#[test]
+fn a_new_window_carries_the_level_over() {
+    let mut d = idempotent(4);
+    d.counts.insert(1, 65.0);
+    d.comes(59.9, 0, 1.0);
+    d.counter(59.9);
+    d.comes(60.0, 0, 1.0);
+    d.counter(60.0);
+    check(
+        &mut d,
+        expect![[r#"
+            59.900 0 comes: not yet
+            59.900 count 1: +1.00
+            59.900 0: to 2
+            60.000 1 comes: not yet
+            60.000 count 2: +1.00
+            60.000 count 2: +6.00
+            60.000 1: to 0
+        "#]],
+    );
+}
+
+/// Invocations that were held without a delivery got no final answer in time.
+#[test]
+fn what_is_held_is_answered_before_the_client_gives_up() {
+    let mut d = of_effect(Effect::NonIdempotent, 1);
+    d.comes(30.0, 0, 1.0);
+    d.counter(30.0);
+    d.ends(33.996, 0, 0, 0, NotConnected, 0.25);
+    check(
+        &mut d,
+        expect![[r#"
+        30.000 0 comes: not yet
+        30.000 count 1: +1.00
+        30.000 0: to 0
+        33.996 0 NotConnected: throttled, 1.00 s
+    "#]],
+    );
+}
+
+#[test]
+fn non_idempotent_goes_again_only_when_it_never_ran_and_is_not_throttled_else() {
+    let mut all = String::new();
+    for ending in [TurnedAway, Broken] {
+        let mut d = of_effect(Effect::NonIdempotent, 2);
+        d.comes(30.0, 0, 1.0);
+        d.counter(30.0);
+        d.ends(30.1, 0, 0, 0, ending, 0.1);
+        all += &d.told();
+    }
+    expect![[r#"
+        30.000 0 comes: not yet
+        30.000 count 1: +1.00
+        30.000 0: to 0
+        30.100 0 TurnedAway: to 1
+        30.000 0 comes: not yet
+        30.000 count 1: +1.00
+        30.000 0: to 0
+        30.100 0 Broken: error
+        30.100 log: backend 0 aside for 1 s: 1 bad in a row, last Broken
+    "#]]
+    .assert_eq(&all);
+}
+
+#[test]
+fn tokened_stays_in_its_group_and_window() {
+    let mut d = of_effect(Effect::Tokened { group: Group::Cell, window: 0.5 }, 4);
+    d.comes(30.0, 0, 1.0);
+    d.counter(30.0);
+    d.ends(30.1, 0, 0, 2, Broken, 0.1);
+    d.ends(30.6, 0, 1, 3, Errored, 0.5);
+    check(
+        &mut d,
+        expect![[r#"
+        30.000 0 comes: not yet
+        30.000 count 1: +1.00
+        30.000 0: to 2
+        30.100 0 Broken: to 3
+        30.100 log: backend 2 aside for 1 s: 1 bad in a row, last Broken
+        30.600 0 Errored: error
+    "#]],
+    );
+}
+
+/// Backends that swallow work: a delivery on one that says nothing is doubted.
+#[test]
+fn a_quiet_backend_is_doubted_and_another_serves() {
+    let mut d = idempotent(2);
+    for i in 0..2 {
+        let t = 30.0 + f64::from(i);
+        let inv = d.comes(t, 0, 1.0);
+        d.counter(t);
+        d.wait(t + 0.8);
+        d.ends(t + 0.9, inv, 1, 1 - i as usize % 2, Succeeded, 0.1);
+    }
+    check(
+        &mut d,
+        expect![[r#"
+        30.000 0 comes: not yet
+        30.000 count 1: +1.00
+        30.000 0: to 0
+        30.800 0: to 1
+        30.900 0 Succeeded: not yet
+        30.900 cancel 0.0
+        31.000 1 comes: not yet
+        31.000 count 1: +2.00
+        31.000 1: to 1
+        31.800 1: to 0
+        31.900 1 Succeeded: not yet
+        31.900 cancel 1.0
+    "#]],
+    );
+}
+
+/// Pressed backends used to hand their work to troubled ones, which swallowed it.
+#[test]
+fn pressed_backends_are_waited_for_and_then_refused() {
+    let mut d = idempotent(1);
+    d.comes(30.0, 0, 1.0);
+    d.counter(30.0);
+    d.comes(30.01, 0, 1.0);
+    d.counter(30.01);
+    d.wait(30.05);
+    d.wait(30.12);
+    check(
+        &mut d,
+        expect![[r#"
+        30.000 0 comes: not yet
+        30.000 count 1: +1.00
+        30.000 0: to 0
+        30.010 1 comes: not yet
+        30.010 count 1: +1.00
+        30.120 1: throttled, 1.00 s
+    "#]],
+    );
+}
+
+#[test]
+fn nothing_new_goes_to_a_draining_or_gone_backend() {
+    let mut d = idempotent(2);
+    d.door.listed(30.0, false, &[Listed { standing: Standing::Draining, ..listed(0) }]);
+    d.comes(30.0, 0, 1.0);
+    d.counter(30.0);
+    d.door.listed(30.1, true, &[]);
+    d.comes(30.2, 0, 1.0);
+    d.counter(30.2);
+    d.wait(30.4);
+    check(
+        &mut d,
+        expect![[r#"
+        30.000 0 comes: not yet
+        30.000 count 1: +1.00
+        30.000 0: to 1
+        30.200 1 comes: not yet
+        30.200 count 1: +1.00
+        30.400 1: throttled, 1.00 s
+    "#]],
+    );
+}
+
+#[test]
+fn a_cold_backend_gets_one_delivery_in_a_fall_span_until_warm_ones_tell_more() {
+    let mut d = idempotent(0);
+    d.door.listed(30.0, true, &[Listed { started: Some(30.0), ..listed(0) }]);
+    for t in [30.0, 30.3, 31.1] {
+        let inv = d.comes(t, 0, 1.0);
+        d.counter(t);
+        d.wait(t + 0.15);
+        d.ends(t + 0.2, inv, 0, 0, Succeeded, 0.2);
+    }
+    check(
+        &mut d,
+        expect![[r#"
+        30.000 0 comes: not yet
+        30.000 count 1: +1.00
+        30.000 0: to 0
+        30.200 0 Succeeded: not yet
+        30.300 1 comes: not yet
+        30.300 count 1: +1.00
+        30.450 1: throttled, 1.00 s
+        30.500 1 Succeeded: not yet
+        31.100 2 comes: to 0
+        31.300 2 Succeeded: not yet
+    "#]],
+    );
+}
+
+/// Dead backends: each trial that failed counts, and a peer's good word shortens the second half of the wait.
+#[test]
+fn a_failed_trial_doubles_the_time_aside_and_a_peer_shortens_it() {
+    let once = Deliveries { most: 1, ..may() };
+    let mut d = desk(vec![operation(Effect::Idempotent)], vec![plan()], once, 1);
+    let mut t = 30.0;
+    for _ in 0..3 {
+        let inv = d.comes(t, 0, 1.0);
+        d.counter(t);
+        d.ends(t + 0.2, inv, 0, 0, Broken, 0.2);
+        t += 3.0;
+        d.door.peer_word(t - 0.1, 0);
+    }
+    check(
+        &mut d,
+        expect![[r#"
+        30.000 0 comes: not yet
+        30.000 count 1: +1.00
+        30.000 0: to 0
+        30.200 0 Broken: throttled, 1.00 s
+        30.200 log: backend 0 aside for 1 s: 1 bad in a row, last Broken
+        33.000 1 comes: not yet
+        33.000 count 1: +6.00
+        33.000 1: to 0
+        33.200 1 Broken: throttled, 1.00 s
+        33.200 log: backend 0 aside for 2 s: 2 bad in a row, last Broken
+        36.000 2 comes: not yet
+        36.000 count 1: +6.00
+        36.000 2: to 0
+        36.200 2 Broken: throttled, 1.00 s
+        36.200 log: backend 0 aside for 4 s: 3 bad in a row, last Broken
+    "#]],
+    );
+}
+
+#[test]
+fn a_ceiling_is_held_by_an_even_share_that_starts_empty() {
+    let capped = Plan { ceiling_rate: 4.0, ceiling_burst: 16.0, ceiling_slack: 2.0, ..plan() };
+    let mut d = desk(vec![operation(Effect::Idempotent)], vec![capped], may(), 2);
+    d.comes(30.0, 0, 1.0);
+    d.comes(30.3, 0, 1.0);
+    d.counter(30.3);
+    check(
+        &mut d,
+        expect![[r#"
+            30.000 0 comes: throttled, 0.25 s
+            30.300 1 comes: not yet
+            30.300 count 1: +1.00
+            30.300 count 1: +0.60
+            30.300 1: to 0
+        "#]],
+    );
+}
+
+#[test]
+fn a_cap_on_what_is_out_is_held_by_an_even_share() {
+    let capped = Plan { open: 2, ..plan() };
+    let mut d = desk(vec![operation(Effect::Idempotent)], vec![capped], may(), 3);
+    d.comes(30.0, 0, 1.0);
+    d.counter(30.0);
+    d.comes(30.01, 0, 1.0);
+    d.counter(30.01);
+    d.ends(30.1, 0, 0, 0, Succeeded, 0.1);
+    d.wait(30.11);
+    check(
+        &mut d,
+        expect![[r#"
+        30.000 0 comes: not yet
+        30.000 count 1: +1.00
+        30.000 0: to 0
+        30.010 1 comes: not yet
+        30.010 count 1: +1.00
+        30.100 0 Succeeded: not yet
+        30.110 1: to 2
+    "#]],
+    );
+}
+
+#[test]
+fn true_units_are_settled_with_the_count() {
+    let mut d = idempotent(2);
+    let inv = d.comes(30.0, 0, 1.0);
+    d.counter(30.0);
+    let o =
+        Outcome { delivery: 0, tgt: 0, ending: Succeeded, took: 0.1, closed: true, true_units: Some(4.0) };
+    d.door.after(30.1, inv, &o);
+    d.wait(31.2);
+    check(
+        &mut d,
+        expect![[r#"
+        30.000 0 comes: not yet
+        30.000 count 1: +1.00
+        30.000 0: to 0
+        31.200 count 1: +3.00
+    "#]],
+    );
+}
