After a silence only what a slice lacks is owed; no herd back to the counter

Told from a shortage of slices by the time: served well while the counter was down. Change: what a slice regained in silence is not owed; what is paid counts before a lift is worked out; the pace starts at a quarter once the counter is back. Also covers a counter that comes back empty. Harm: a heavy customer keeps one burst after a silence.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,7 +12,6 @@
 use std::collections::{BTreeMap, VecDeque};
 
 const WINDOW: f64 = 30.0; // one name of a count; long, for an edge costs a call to carry the level over
-const NAME_LIFE: f64 = 45.0; // past the window's end, for late calls
 const LAPSE: f64 = 1.0; // an unspent lease goes back
 const BATCH: f64 = 1.0 / 16.0; // of the burst, taken at once while more than half of the store is there
 const SPILL: f64 = 1.0 / 8.0; // of the burst: smaller lags of the count are left alone
@@ -30,7 +29,6 @@
 const PRESSED: f64 = 0.15; // of the latency objective: the work out at a backend may fill so much of it
 const SLOWED: f64 = 1.5; // times the least median of late: answers slow down all over
 const DRIFT: f64 = 0.0002; // by which that least forgets, an answer
-const BUSY: f64 = 0.1; // a backend that turned us away is left alone so long
 const RATE_SPAN: f64 = 2.0; // answers are counted over about so long
 const ASIDE: (f64, f64) = (1.0, 8.0); // a backend set aside: first and longest time
 const REPEATS: (f64, f64) = (0.1, 20.0); // re-deliveries: earned by a first delivery, and saved at most
@@ -87,8 +85,8 @@
     lapses: f64,
     settle: f64, // true units less guessed, owed to the count
     slice: f64,
-    slice_at: f64,
     sliced: f64, // spent from the slice and not yet told to the count
+    sliced_at: f64,
     ceiling: f64,
     out: usize,
     calls: VecDeque<Call>,
@@ -112,7 +110,6 @@
     quiet_since: f64,
     fails: u32,
     aside: Option<Aside>,
-    busy_until: f64,
     sent: VecDeque<f64>,
     good: f64, // answers, fading over the span
     good_at: f64,
@@ -158,6 +155,7 @@
     heard: f64,
     silent: bool,
     recall: f64,
+    back: f64, // when it last came back
     pace: f64, // counter calls a second that we allow ourselves
     paced: f64,
 
@@ -180,12 +178,13 @@
         let (half, base) = (high.clone(), high.clone());
         let (invs, accounts, backends) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         let (rng, bells, errands) = (ChaCha8Rng::seed_from_u64(seed), BTreeMap::new(), Errands::default());
-        let (repeats, misses, heard, silent, recall, rung) = (REPEATS.1 / 2.0, 0, 0.0, false, 0.0, 0);
+        let (repeats, misses, heard, silent, recall, back, rung) =
+            (REPEATS.1 / 2.0, 0, 0.0, false, 0.0, 0.0, 0);
         let (pace, paced, calls, again, idle) = (PACE.1, 0.0, 0.0, vec![], vec![]);
         #[rustfmt::skip]
         return Door {
             rng, peers, operations, plans, rules, may, counter, invs, accounts, backends, high, half, base,
-            repeats, misses, heard, silent, recall, pace, paced, calls, again, idle, bells, rung, errands,
+            repeats, misses, heard, silent, recall, back, pace, paced, calls, again, idle, bells, rung, errands,
         };
     }
 
@@ -262,8 +261,8 @@
             if !self.accounts.contains_key(&ask.customer) {
                 let (p, doors) = (&self.plans[ask.plan], ask.doors.max(1) as f64);
                 let (slice, ceiling) = (p.burst / doors, p.ceiling_slack / doors / 2.0);
-                let (plan, slice_at, used, bell) = (ask.plan, now, now, f64::INFINITY);
-                let a = Account { plan, doors, slice, slice_at, ceiling, used, bell, ..Account::default() };
+                let (plan, used, bell) = (ask.plan, now, f64::INFINITY);
+                let a = Account { plan, doors, slice, ceiling, used, bell, ..Account::default() };
                 self.accounts.insert(ask.customer, a);
                 self.look_after(ask.customer, now + IDLE);
             }
@@ -442,14 +441,15 @@
         let a = self.accounts.get_mut(&customer).expect("has an account");
         let p = &self.plans[a.plan];
         let (even, most) = (p.rate / a.doors, p.burst / a.doors);
-        a.slice = (a.slice + even * (now - a.slice_at)).min(most);
-        if a.slice >= most {
-            a.sliced = 0.0; // the slice has regained what it spent: nothing is owed
+        a.slice = (a.slice + even * (now - a.used)).min(most);
+        // What a slice regained in silence the store did too: only what it still lacks is owed.
+        if a.slice >= most || self.silent || a.sliced_at < self.back {
+            a.sliced = a.sliced.min(most - a.slice);
         }
         // A hard ceiling is held by an even share of its own, empty at start: a restart fills nothing.
-        let ceiling = a.ceiling + p.ceiling_rate / a.doors * (now - a.slice_at);
+        let ceiling = a.ceiling + p.ceiling_rate / a.doors * (now - a.used);
         a.ceiling = ceiling.min(p.ceiling_burst / a.doors);
-        (a.slice_at, a.used) = (now, now);
+        a.used = now;
         if p.ceiling_rate > 0.0 && a.ceiling < units {
             let short = (units - a.ceiling) * a.doors / p.ceiling_rate;
             return Some(self.throttle(short));
@@ -467,7 +467,7 @@
         }
         let regained = p.rate * (now - f64::from(series) * WINDOW);
         let owed = a.settle + a.sliced;
-        let room = a.seen.map_or(p.burst, |s| p.burst + regained - s.max(regained) - owed);
+        let room = a.seen.map_or(p.burst, |s| p.burst + regained - (s + owed).max(regained));
         let leasing = a.calls.iter().any(|c| matches!(c.what, Errand::Lease { .. }));
         // A full slice smaller than the request goes into debt: else small quotas get nothing in silence.
         let fits = a.slice >= units.min(most);
@@ -482,6 +482,7 @@
             if fits {
                 a.slice -= units;
                 a.sliced += units;
+                a.sliced_at = now;
                 a.ceiling -= units;
                 self.look_after(customer, now + LAPSE);
             }
@@ -503,7 +504,7 @@
             return Some(self.throttle(short));
         }
         let batch = if room > p.burst / 2.0 { p.burst * BATCH } else { 0.0 };
-        let spill = a.seen.map_or(0.0, |s| (regained - s).max(0.0));
+        let spill = a.seen.map_or(0.0, |s| (regained - s - owed).max(0.0));
         let units = need.max(batch);
         (a.settle, a.sliced) = (0.0, 0.0);
         a.waiting.push(inv);
@@ -512,11 +513,11 @@
     }
 
     fn call(&mut self, customer: Customer, series: u32, (add, paid): (f64, f64), what: Errand) {
-        let a = self.accounts.get_mut(&customer).expect("has an account");
-        a.calls.push_back(Call { series, add, paid, what });
+        let calls = &mut self.accounts.get_mut(&customer).expect("has an account").calls;
+        calls.push_back(Call { series, add, paid, what });
         self.calls -= 1.0;
         let name = CountName { customer, series };
-        self.errands.counter.push(CounterCall { name, add, lives: NAME_LIFE });
+        self.errands.counter.push(CounterCall { name, add, lives: 1.5 * WINDOW });
     }
 
     /// An answered call: right the count where it lags or was lifted twice, keep what fits, return the rest.
@@ -524,7 +525,7 @@
         let a = self.accounts.get_mut(&name.customer).expect("has calls");
         let p = &self.plans[a.plan];
         let small = p.burst * SPILL;
-        let waiting = std::mem::take(&mut a.waiting);
+        self.again.append(&mut a.waiting);
         let current = a.series == call.series;
         let regained = p.rate * (now - f64::from(call.series) * WINDOW).max(0.0);
         let before = total - call.add;
@@ -533,7 +534,7 @@
         let known = a.seen.filter(|_| current).unwrap_or(0.0);
         let lost = before < 0.01 || before < known - small * a.doors;
         let level = if lost { regained.max(known) } else { regained };
-        let lag = (level - before).max(0.0);
+        let lag = (level - before - call.paid).max(0.0);
         let (mut back, mut lift) = (0.0, 0.0);
         match call.what {
             Errand::Lease { units, spill } => {
@@ -559,7 +560,6 @@
             self.call(name.customer, call.series, (-back, -back), Errand::Return);
         }
         self.look_after(name.customer, lapses);
-        self.again.extend(waiting);
     }
 
     /// Units of an invocation that was never sent on serve the customer's next.
@@ -600,8 +600,9 @@
 
     fn heard(&mut self, now: f64) {
         if self.silent {
-            let line = format!("counter answers again after {:.2} s; leases resume", now - self.heard);
-            self.errands.log.push(line);
+            let gap = now - self.heard;
+            self.errands.log.push(format!("counter answers again after {gap:.2} s; leases resume"));
+            (self.back, self.pace) = (now, (self.pace / 4.0).max(PACE.0)); // no herd back to it
         }
         (self.silent, self.misses, self.heard) = (false, 0, now);
         self.pace = (self.pace + PACE_STEP.0).min(PACE.1);
@@ -612,8 +613,8 @@
         self.pace = (self.pace - PACE_STEP.1).max(PACE.0);
         if !self.silent && self.misses >= MISSES && now - self.heard > PACE_SPAN {
             (self.silent, self.recall) = (true, now + RECALL);
-            let (n, since) = (self.misses, self.heard);
-            self.errands.log.push(format!("counter silent: {n} calls missed since {since:.2}; even slices"));
+            let (n, gap) = (self.misses, now - self.heard);
+            self.errands.log.push(format!("counter silent: {n} calls missed in {gap:.2} s; even slices"));
         }
     }
 
@@ -645,7 +646,7 @@
                 continue;
             }
             let waits = b.aside.is_some_and(|a| now < a.until || effect != Effect::Idempotent);
-            if waits || b.busy_until > now || tried.contains(&b.is.tgt) || b.quiet(now, high) {
+            if waits || tried.contains(&b.is.tgt) || b.quiet(now, high) {
                 poor.push(b.is.tgt);
             } else if b.out as f64 >= (b.rate(now) * span).max(1.0) {
                 pressed = true; // what is out there takes enough of the objective, at the pace of its answers
@@ -697,7 +698,7 @@
                     self.errands.log.push(format!("backend {} back: answered in {:.3} s", o.tgt, o.took));
                 }
             }
-            Ending::TurnedAway => (b.busy_until, b.quiet_since) = (now + BUSY, now),
+            Ending::TurnedAway => b.quiet_since = now,
             Ending::NotSent => {}
             _ => {
                 // No answer tells little if others were answered since it was sent.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -95,27 +95,27 @@
     check(
         &mut d,
         expect![[r#"
-        30.000 0 comes: not yet
-        30.000 count 1: +1.00
-        30.040 0: to 2
-        30.100 1 comes: not yet
-        30.100 count 1: +2.00
-        30.140 1: to 0
-        30.200 2 comes: not yet
-        30.200 count 1: +2.00
-        30.240 2: to 3
-        30.240 log: counter silent: 5 calls missed since 30.00; even slices
-        30.300 3 comes: to 1
-        30.400 4 comes: throttled, 0.64 s
-        30.500 5 comes: throttled, 0.54 s
-        30.500 count 1: +0.00
-        30.600 6 comes: throttled, 0.44 s
-        30.700 7 comes: throttled, 0.34 s
-        31.000 8 comes: throttled, 0.05 s
-        31.000 count 1: +0.00
-        31.010 count 1: +2.00
-        31.010 log: counter answers again after 1.01 s; leases resume
-    "#]],
+            30.000 0 comes: not yet
+            30.000 count 1: +1.00
+            30.040 0: to 2
+            30.100 1 comes: not yet
+            30.100 count 1: +2.00
+            30.140 1: to 0
+            30.200 2 comes: not yet
+            30.200 count 1: +2.00
+            30.240 2: to 3
+            30.240 log: counter silent: 5 calls missed in 0.24 s; even slices
+            30.300 3 comes: to 1
+            30.400 4 comes: throttled, 0.64 s
+            30.500 5 comes: throttled, 0.54 s
+            30.500 count 1: +0.00
+            30.600 6 comes: throttled, 0.44 s
+            30.700 7 comes: throttled, 0.34 s
+            31.000 8 comes: throttled, 0.05 s
+            31.000 count 1: +0.00
+            31.010 count 1: +2.00
+            31.010 log: counter answers again after 1.01 s; leases resume
+        "#]],
     );
 }
 
@@ -452,3 +452,34 @@
     "#]],
     );
 }
+
+/// After a silence each door told all it had spent from its slice, though the store had regained most of it
+/// meanwhile: calm customers were refused for seconds once the counter was back.
+#[test]
+fn after_a_silence_only_what_the_slice_lacks_is_owed() {
+    let mut d = idempotent(8);
+    for i in 0..10 {
+        let t = 30.0 + f64::from(i);
+        let inv = d.comes(t, 0, 1.0);
+        d.wait(t + 0.05);
+        d.no_counter(t + 0.06, Unanswered);
+        d.door.after(
+            t + 0.1,
+            inv,
+            &Outcome { delivery: 0, tgt: 0, ending: Succeeded, took: 0.1, closed: true, true_units: None },
+        );
+    }
+    d.told();
+    d.counts.insert(1, 0.0);
+    d.comes(40.0, 0, 1.0);
+    d.counter(40.01);
+    d.comes(40.3, 0, 1.0);
+    check(&mut d, expect![[r#"
+        40.000 10 comes: to 0
+        40.000 count 1: +0.00
+        40.010 count 1: +1.05
+        40.010 log: counter answers again after 10.01 s; leases resume
+        40.300 11 comes: not yet
+        40.300 count 1: +20.55
+    "#]]);
+}
