--- a/src/decide.rs
+++ b/src/decide.rs
@@ -624,11 +624,13 @@
     fn pick(&mut self, now: f64, op: usize, tried: &[Tgt], kin: Option<(Group, Tgt)>) -> Option<Tgt> {
         let kin = kin.and_then(|(g, t)| self.backends.get(&t).map(|b| (g, b.is.zone, b.is.cell)));
         let ready = || self.backends.values().filter(|b| b.is.standing == Standing::Ready);
-        let warm = ready().filter(|b| b.aside.is_none() && self.share(now, b) >= 1.0);
-        let (n, rate) = warm.fold((0.0, 0.0), |(n, r), b| (n + 1.0, r + b.rate(now)));
         let (high, effect) = (self.high[op], self.operations[op].effect);
+        // What hangs at troubled backends says nothing of the others.
+        let well = || ready().filter(|b| b.aside.is_none() && !b.quiet(now, high));
+        let warm = well().filter(|b| self.share(now, b) >= 1.0);
+        let (n, rate) = warm.fold((0.0, 0.0), |(n, r), b| (n + 1.0, r + b.rate(now)));
         let span = PRESSED * self.operations[op].latency_objective;
-        let all_out: usize = ready().map(|b| b.out).sum();
+        let all_out: usize = well().map(|b| b.out).sum();
         let clears = rate * span.max(SLOWED * self.base[op]);
         if self.half[op] > SLOWED * self.base[op] && all_out as f64 > clears.max(1.0) {
             return None; // answers slow down all over: no more out than they would clear
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -474,12 +474,15 @@
     d.comes(40.0, 0, 1.0);
     d.counter(40.01);
     d.comes(40.3, 0, 1.0);
-    check(&mut d, expect![[r#"
+    check(
+        &mut d,
+        expect![[r#"
         40.000 10 comes: to 0
         40.000 count 1: +0.00
         40.010 count 1: +1.05
         40.010 log: counter answers again after 10.01 s; leases resume
         40.300 11 comes: not yet
         40.300 count 1: +20.55
-    "#]]);
+    "#]],
+    );
 }
