The bound on all work out has a floor of one delivery a backend for all doors

Change: hung work leaves the count after the high answer time; the floor is the backends in good standing over the number of doors. Also covers a door that has just restarted into an overload.

--- a/drill/src/facts.rs
+++ b/drill/src/facts.rs
@@ -6,6 +6,7 @@
 
 #[derive(Deserialize)]
 struct Told {
+    balancers: usize,
     discovery: String,
     caps: Caps,
     classes: Vec<Class>,
@@ -114,6 +115,11 @@
     let limits = CounterLimits { timeout: told.extra.counter_timeout_us / 1e6 };
     let counter = told.extra.counter.then_some(limits);
     let (n, m) = (operations.len(), plans.len());
-    let door = Door::new((seed, told.caps.peers), (operations, plans), (rules, may), counter);
+    let door = Door::new(
+        (seed, told.balancers.max(1) as f64, told.caps.peers),
+        (operations, plans),
+        (rules, may),
+        counter,
+    );
     Ok(Start { door, operations: n, plans: m, ask_for_list })
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -138,6 +138,7 @@
 // ======== for the instance
 pub struct Door {
     rng: ChaCha8Rng,
+    doors: f64,
     peers: bool,
     operations: Vec<Operation>,
     plans: Vec<Plan>,
@@ -169,7 +170,7 @@
 
 impl Door {
     pub fn new(
-        (seed, peers): (u64, bool),
+        (seed, doors, peers): (u64, f64, bool),
         (operations, plans): (Vec<Operation>, Vec<Plan>),
         (rules, may): (ColdStart, Deliveries),
         counter: Option<CounterLimits>,
@@ -183,7 +184,7 @@
         let (pace, paced, calls, again, idle) = (PACE.1, 0.0, 0.0, vec![], vec![]);
         #[rustfmt::skip]
         return Door {
-            rng, peers, operations, plans, rules, may, counter, invs, accounts, backends, high, half, base,
+            rng, doors, peers, operations, plans, rules, may, counter, invs, accounts, backends, high, half, base,
             repeats, misses, heard, silent, recall, back, pace, paced, calls, again, idle, bells, rung, errands,
         };
     }
@@ -199,17 +200,12 @@
             self.backends.values_mut().for_each(|b| b.is.standing = Standing::Gone);
         }
         for &is in entries {
-            match self.backends.get_mut(&is.tgt) {
-                Some(b) if b.is.started == is.started => b.is = is,
-                old => {
-                    let (out, sent) =
-                        old.map_or((0, VecDeque::new()), |b| (b.out, std::mem::take(&mut b.sent)));
-                    let (high, quiet_since, good_at, known) = (1.0, now, now, now);
-                    let b =
-                        Backend { is, out, sent, high, quiet_since, good_at, known, ..Backend::default() };
-                    self.backends.insert(is.tgt, b);
-                }
-            }
+            let old = self.backends.remove(&is.tgt);
+            let out = old.as_ref().map_or(0, |b| b.out);
+            let b = old.filter(|b| b.is.started == is.started).map(|b| Backend { is, ..b });
+            let (high, quiet_since, good_at, known) = (1.0, now, now, now);
+            let new = Backend { is, out, high, quiet_since, good_at, known, ..Backend::default() };
+            self.backends.insert(is.tgt, b.unwrap_or(new));
         }
     }
 
@@ -630,9 +626,9 @@
         let warm = well().filter(|b| self.share(now, b) >= 1.0);
         let (n, rate) = warm.fold((0.0, 0.0), |(n, r), b| (n + 1.0, r + b.rate(now)));
         let span = PRESSED * self.operations[op].latency_objective;
-        let all_out: usize = well().map(|b| b.out).sum();
-        let clears = rate * span.max(SLOWED * self.base[op]);
-        if self.half[op] > SLOWED * self.base[op] && all_out as f64 > clears.max(1.0) {
+        let all_out: usize = well().filter(|b| now - b.quiet_since <= high).map(|b| b.out).sum();
+        let clears = (rate * span.max(SLOWED * self.base[op])).max(n / self.doors).max(1.0);
+        if self.half[op] > SLOWED * self.base[op] && all_out as f64 > clears {
             return None; // answers slow down all over: no more out than they would clear
         }
         let (mut good, mut poor, mut pressed) = (vec![], vec![], false);
