Judge work out, rates and answer times by units

Change: the high answer time, the pace of answers and what is out are counted in units; quiet is 1 + 1/out times. Harm: where units say nothing of the work, times are judged more loosely.

--- a/drill/src/host.rs
+++ b/drill/src/host.rs
@@ -303,11 +303,10 @@
         let held = self.held[inv].as_mut().expect("asked about a held invocation");
         let id = held.id.to_le_bytes();
         match answer.verdict {
-            Verdict::Deliver { tgt, time_out } => {
+            Verdict::Deliver { tgt } => {
                 held.out += 1;
                 held.sent += 1;
-                let put = reply.put(140).bytes(1, &id).bytes(5, &self.addresses[tgt]);
-                put.micros(11, time_out.unwrap_or(0.0));
+                reply.put(140).bytes(1, &id).bytes(5, &self.addresses[tgt]);
             }
             Verdict::NotYet => {}
             Verdict::Throttle { retry_after } => {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -106,25 +106,27 @@
 struct Backend {
     is: Listed,
     out: usize,
+    owes: f64, // units of what is out
     high: f64, // its high quantile of answer times, against its fellows'
     quiet_since: f64,
     fails: u32,
     aside: Option<Aside>,
-    sent: VecDeque<f64>,
-    good: f64, // answers, fading over the span
+    sent: VecDeque<(f64, f64)>, // when, and units
+    good: f64,                  // units answered, fading over the span
     good_at: f64,
     known: f64, // since when we have it on the list as it is
 }
 
 impl Backend {
-    /// Good answers a second that we have had from it lately.
+    /// Units a second that it has answered us lately.
     fn rate(&self, now: f64) -> f64 {
         let seen = RATE_SPAN * (1.0 - ((self.known - now - RATE_SPAN / 20.0) / RATE_SPAN).exp());
         self.good * ((self.good_at - now) / RATE_SPAN).exp() / seen
     }
     /// It holds our deliveries and has said nothing for longer than they can explain.
     fn quiet(&self, now: f64, high: f64) -> bool {
-        self.out > 0 && now - self.quiet_since > high * (1.0 + 2.0 / self.out as f64)
+        let out = self.out as f64;
+        self.out > 0 && now - self.quiet_since > high * self.owes / out * (1.0 + 1.0 / out)
     }
 }
 
@@ -148,7 +150,7 @@
     invs: BTreeMap<Inv, Invocation>,
     accounts: BTreeMap<Customer, Account>,
     backends: BTreeMap<Tgt, Backend>,
-    high: Vec<f64>, // by operation, over all backends
+    high: Vec<f64>, // for a unit, by operation, over all backends
     half: Vec<f64>, // the median, and the least it has been of late
     base: Vec<f64>,
     repeats: f64,
@@ -179,13 +181,13 @@
         let (half, base) = (high.clone(), high.clone());
         let (invs, accounts, backends) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         let (rng, bells, errands) = (ChaCha8Rng::seed_from_u64(seed), BTreeMap::new(), Errands::default());
-        let (repeats, misses, heard, silent, recall, back, rung) =
-            (REPEATS.1 / 2.0, 0, 0.0, false, 0.0, 0.0, 0);
-        let (pace, paced, calls, again, idle) = (PACE.1, 0.0, 0.0, vec![], vec![]);
+        let (repeats, pace, misses, silent, rung) = (REPEATS.1 / 2.0, PACE.1, 0, false, 0);
+        let (heard, recall, back, paced, calls, again, idle) = (0.0, 0.0, 0.0, 0.0, 0.0, vec![], vec![]);
         #[rustfmt::skip]
         return Door {
-            rng, doors, peers, operations, plans, rules, may, counter, invs, accounts, backends, high, half, base,
-            repeats, misses, heard, silent, recall, back, pace, paced, calls, again, idle, bells, rung, errands,
+            rng, doors, peers, operations, plans, rules, may, counter, invs, accounts, backends, high, half,
+            base, repeats, misses, heard, silent, recall, back, pace, paced, calls, again, idle, bells, rung,
+            errands,
         };
     }
 
@@ -201,10 +203,10 @@
         }
         for &is in entries {
             let old = self.backends.remove(&is.tgt);
-            let out = old.as_ref().map_or(0, |b| b.out);
+            let (out, owes) = old.as_ref().map_or((0, 0.0), |b| (b.out, b.owes));
             let b = old.filter(|b| b.is.started == is.started).map(|b| Backend { is, ..b });
             let (high, quiet_since, good_at, known) = (1.0, now, now, now);
-            let new = Backend { is, out, high, quiet_since, good_at, known, ..Backend::default() };
+            let new = Backend { is, out, owes, high, quiet_since, good_at, known, ..Backend::default() };
             self.backends.insert(is.tgt, b.unwrap_or(new));
         }
     }
@@ -284,7 +286,7 @@
                 self.look_after(ask.customer, now + LAPSE);
             }
         }
-        self.judge(now, ask.operation, sent, o);
+        self.judge(now, &ask, sent, o);
         if closed {
             self.gone(inv);
         }
@@ -310,8 +312,8 @@
         let live = |i: &Inv| self.invs.get(i).is_some_and(|v| !v.closed);
         let again = std::mem::take(&mut self.again).into_iter().filter(live).collect();
         let seconds = self.bells.keys().next().map(|k| f64::from_bits(k.0) - now);
-        let idle = std::mem::take(&mut self.idle);
-        Wait { again, idle, seconds, errands: std::mem::take(&mut self.errands) }
+        let (idle, errands) = (std::mem::take(&mut self.idle), std::mem::take(&mut self.errands));
+        Wait { again, idle, seconds, errands }
     }
 
     // ======== the course of one invocation
@@ -327,6 +329,8 @@
         let v = &self.invs[&inv];
         let op = &self.operations[v.ask.operation];
         let (out, tries, left) = (v.out(), v.deliveries.len(), v.ask.until - now);
+        let units = v.ask.units.max(1.0);
+        let high = self.high[v.ask.operation] * units;
         let (operation, customer, objective) = (v.ask.operation, v.ask.customer, op.latency_objective);
         let mut may_have_run = v.deliveries.iter().filter(|d| !d.ending.is_some_and(Ending::never_ran));
         let ran = may_have_run.next().map(|d| (d.tgt, d.sent));
@@ -349,8 +353,8 @@
             if now < v.look || op.effect != Effect::Idempotent || late || tries >= self.may.most {
                 return Verdict::NotYet;
             }
-            if self.repeats < 1.0 || !(quiet || now - d.sent > DOUBT * self.high[operation]) {
-                return self.look_again(now, inv, self.high[operation] / 2.0);
+            if self.repeats < 1.0 || !(quiet || now - d.sent > DOUBT * high) {
+                return self.look_again(now, inv, high / 2.0);
             }
             if !self.may.second_copies {
                 self.errands.cancels.extend(self.may.cancels.then_some((inv, i)));
@@ -362,7 +366,7 @@
             || tries >= self.may.most
             || tries > 0 && (late || ran.is_some() && self.repeats < 1.0)
         {
-            return if may_throttle { self.throttle(1.0) } else { Verdict::Error };
+            return if may_throttle { throttle(&self.may, 1.0) } else { Verdict::Error };
         }
         let tried: Vec<Tgt> = v.deliveries.iter().map(|d| d.tgt).collect();
         let (came, a, open) = (v.came, &self.accounts[&customer], self.plans[v.ask.plan].open);
@@ -371,12 +375,12 @@
         let Some(tgt) = (if full { None } else { self.pick(now, operation, &tried, bound) }) else {
             if out == 0 && (now - came > if full { objective / 4.0 } else { objective / 10.0 }) {
                 self.give_back(now, inv);
-                return if may_throttle { self.throttle(objective) } else { Verdict::Error };
+                return if may_throttle { throttle(&self.may, objective) } else { Verdict::Error };
             }
             return self.look_again(now, inv, objective / 50.0);
         };
         self.repeats = (self.repeats + REPEATS.0 - f64::from(ran.is_some())).min(REPEATS.1);
-        self.look_again(now, inv, self.high[operation]);
+        self.look_again(now, inv, high);
         self.invs.get_mut(&inv).expect("held").deliveries.push(Delivery { tgt, sent: now, ending: None });
         if let Some(a) = self.accounts.get_mut(&customer) {
             a.out += 1;
@@ -384,12 +388,13 @@
         let b = self.backends.get_mut(&tgt).expect("picked");
         b.quiet_since = if b.out == 0 { now } else { b.quiet_since };
         b.out += 1;
-        b.sent.push_back(now);
-        b.sent.retain(|t| *t > now - self.rules.fall_after);
+        b.owes += units;
+        b.sent.push_back((now, units));
+        b.sent.retain(|s| s.0 > now - self.rules.fall_after);
         if let Some(a) = &mut b.aside {
             a.until = a.until.max(now + a.span); // one trial in each span
         }
-        Verdict::Deliver { tgt, time_out: None }
+        Verdict::Deliver { tgt }
     }
 
     fn look_again(&mut self, now: f64, inv: Inv, seconds: f64) -> Verdict {
@@ -398,11 +403,6 @@
         Verdict::NotYet
     }
 
-    fn throttle(&self, seconds: f64) -> Verdict {
-        let retry_after = self.may.retry_after.map(|most| seconds.max(0.05).min(most));
-        Verdict::Throttle { retry_after }
-    }
-
     fn answer(&mut self, inv: Inv, verdict: Verdict) -> Answer {
         if matches!(verdict, Verdict::Throttle { .. } | Verdict::Error) {
             self.gone(inv);
@@ -447,8 +447,7 @@
         a.ceiling = ceiling.min(p.ceiling_burst / a.doors);
         a.used = now;
         if p.ceiling_rate > 0.0 && a.ceiling < units {
-            let short = (units - a.ceiling) * a.doors / p.ceiling_rate;
-            return Some(self.throttle(short));
+            return Some(throttle(&self.may, (units - a.ceiling) * a.doors / p.ceiling_rate));
         }
         if p.rate <= 0.0 || now < a.lapses && a.lease >= units {
             a.lease -= if p.rate > 0.0 { units } else { 0.0 };
@@ -488,7 +487,7 @@
             } else if past && !self.silent && !idle {
                 self.missed(now);
             }
-            return if fits { None } else { Some(self.throttle(short)) };
+            return if fits { None } else { Some(throttle(&self.may, short)) };
         }
         if leasing {
             a.waiting.push(inv); // one call in flight serves all that wait for it
@@ -496,8 +495,7 @@
         }
         let need = units - if now < a.lapses { a.lease } else { 0.0 };
         if need > room {
-            let short = (need - room) / p.rate;
-            return Some(self.throttle(short));
+            return Some(throttle(&self.may, (need - room) / p.rate));
         }
         let batch = if room > p.burst / 2.0 { p.burst * BATCH } else { 0.0 };
         let spill = a.seen.map_or(0.0, |s| (regained - s - owed).max(0.0));
@@ -626,9 +624,9 @@
         let warm = well().filter(|b| self.share(now, b) >= 1.0);
         let (n, rate) = warm.fold((0.0, 0.0), |(n, r), b| (n + 1.0, r + b.rate(now)));
         let span = PRESSED * self.operations[op].latency_objective;
-        let all_out: usize = well().filter(|b| now - b.quiet_since <= high).map(|b| b.out).sum();
+        let all_out: f64 = well().filter(|b| now - b.quiet_since <= high).map(|b| b.owes).sum();
         let clears = (rate * span.max(SLOWED * self.base[op])).max(n / self.doors).max(1.0);
-        if self.half[op] > SLOWED * self.base[op] && all_out as f64 > clears {
+        if self.half[op] > SLOWED * self.base[op] && all_out > clears {
             return None; // answers slow down all over: no more out than they would clear
         }
         let (mut good, mut poor, mut pressed) = (vec![], vec![], false);
@@ -639,14 +637,14 @@
             // Cold: no more than its share of what a warm one answers us. All doors doing so, it gets a share
             // of a warm one's load, which is under what it can do.
             let share = self.share(now, b);
-            let sent = b.sent.iter().filter(|t| **t > now - self.rules.fall_after).count() as f64;
+            let sent: f64 = b.sent.iter().filter(|s| s.0 > now - self.rules.fall_after).map(|s| s.1).sum();
             if share < 1.0 && sent >= (share * rate / f64::max(n, 1.0) * self.rules.fall_after).max(1.0) {
                 continue;
             }
             let waits = b.aside.is_some_and(|a| now < a.until || effect != Effect::Idempotent);
             if waits || tried.contains(&b.is.tgt) || b.quiet(now, high) {
                 poor.push(b.is.tgt);
-            } else if b.out as f64 >= (b.rate(now) * span).max(1.0) {
+            } else if b.owes >= (b.rate(now) * span).max(1.0) {
                 pressed = true; // what is out there takes enough of the objective, at the pace of its answers
             } else {
                 good.push(b.is.tgt);
@@ -675,22 +673,24 @@
     /// Our own deliveries out, against the backend's size, its slowness beside its fellows and its warmth.
     fn load(&self, now: f64, tgt: Tgt) -> f64 {
         let b = &self.backends[&tgt];
-        (b.out + 1) as f64 * b.high.max(0.5) / b.is.size.max(0.01) / self.share(now, b)
+        (b.owes + 1.0) * b.high.clamp(0.5, 5.0) / b.is.size.max(0.01) / self.share(now, b)
     }
 
     /// What an outcome says of its backend.
-    fn judge(&mut self, now: f64, op: usize, sent: f64, o: &Outcome) {
+    fn judge(&mut self, now: f64, ask: &Ask, sent: f64, o: &Outcome) {
+        let (op, units) = (ask.operation, ask.units.max(1.0));
         let (high, half, base) = (&mut self.high[op], &mut self.half[op], &mut self.base[op]);
         let Some(b) = self.backends.get_mut(&o.tgt) else { return };
         b.out = b.out.saturating_sub(1);
+        b.owes = if b.out > 0 { (b.owes - units).max(0.0) } else { 0.0 };
         match o.ending {
             Ending::Succeeded => {
-                toward(high, o.took, HIGH);
+                toward(high, o.took / units, HIGH);
                 toward(half, o.took, 0.5);
-                toward(&mut b.high, o.took / *high, HIGH);
-                b.high = b.high.clamp(0.3, 5.0);
+                toward(&mut b.high, o.took / units / *high, HIGH);
+
                 *base = (*base * (1.0 + DRIFT)).min(*half);
-                b.good = b.good * ((b.good_at - now) / RATE_SPAN).exp() + 1.0;
+                b.good = b.good * ((b.good_at - now) / RATE_SPAN).exp() + units;
                 (b.good_at, b.quiet_since, b.fails) = (now, now, 0);
                 if b.aside.take().is_some() {
                     self.errands.log.push(format!("backend {} back: answered in {:.3} s", o.tgt, o.took));
@@ -719,3 +719,7 @@
 fn toward(estimate: &mut f64, value: f64, quantile: f64) {
     *estimate *= if value > *estimate { 1.0 + STEP * quantile } else { 1.0 - STEP * (1.0 - quantile) };
 }
+
+fn throttle(may: &Deliveries, seconds: f64) -> Verdict {
+    Verdict::Throttle { retry_after: may.retry_after.map(|most| seconds.max(0.05).min(most)) }
+}
--- a/src/types.rs
+++ b/src/types.rs
@@ -146,7 +146,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Verdict {
-    Deliver { tgt: Tgt, time_out: Option<f64> },
+    Deliver { tgt: Tgt },
     NotYet,
     Throttle { retry_after: Option<f64> },
     Error,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -115,6 +115,9 @@
             31.000 count 1: +0.00
             31.010 count 1: +2.00
             31.010 log: counter answers again after 1.01 s; leases resume
+            31.010 1: to 1
+            31.010 2: to 2
+            31.010 3: to 0
         "#]],
     );
 }
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -98,7 +98,7 @@
 
     fn note(&mut self, now: f64, what: &str, answer: Answer) {
         let verdict = match answer.verdict {
-            Verdict::Deliver { tgt, .. } => format!("to {tgt}"),
+            Verdict::Deliver { tgt } => format!("to {tgt}"),
             Verdict::NotYet => "not yet".into(),
             Verdict::Throttle { retry_after: Some(s) } => format!("throttled, {s:.2} s"),
             Verdict::Throttle { retry_after: None } => "throttled".into(),
