Ask again for a list that could not be had; keep the account of a held invocation

Found by reading: a list call that failed was never made again where the list must be asked for, and an account could be forgotten while an invocation of its customer was still held (a panic at its next delivery).

--- a/drill/src/facts.rs
+++ b/drill/src/facts.rs
@@ -60,7 +60,6 @@
     pub door: Door,
     pub operations: usize,
     pub plans: usize,
-    pub ask_for_list: bool,
 }
 
 fn operation(i: usize, c: &Class) -> Result<Operation, String> {
@@ -84,7 +83,7 @@
     let operations = told.classes.iter().enumerate().map(|(i, c)| operation(i, c));
     let operations: Vec<Operation> =
         operations.collect::<Result<_, _>>().map_err(|e| Malformed(format!("settings: {e}")))?;
-    let ask_for_list = match told.discovery.as_str() {
+    let asks = match told.discovery.as_str() {
         "pushed" => false,
         "on_request" => true,
         other => return Err(Malformed(format!("settings: discovery: unknown value '{other}'"))),
@@ -116,10 +115,10 @@
     let counter = told.extra.counter.then_some(limits);
     let (n, m) = (operations.len(), plans.len());
     let door = Door::new(
-        (seed, told.balancers.max(1) as f64, told.caps.peers),
+        (seed, told.balancers.max(1) as f64, told.caps.peers, asks),
         (operations, plans),
         (rules, may),
         counter,
     );
-    Ok(Start { door, operations: n, plans: m, ask_for_list })
+    Ok(Start { door, operations: n, plans: m })
 }
--- a/drill/src/host.rs
+++ b/drill/src/host.rs
@@ -65,7 +65,7 @@
             match r.code() {
                 60 => {
                     let start = facts::start(r.u64(1), r.tail(9, 1)?).map_err(|e| r.wrong(e))?;
-                    self.instances.insert(reply.door, Instance::new(start, reply));
+                    self.instances.insert(reply.door, Instance::new(start));
                 }
                 50 => {
                     self.instances.remove(&reply.door);
@@ -118,10 +118,7 @@
 }
 
 impl Instance {
-    fn new(start: facts::Start, reply: &mut Reply) -> Instance {
-        if start.ask_for_list {
-            reply.put(60).bytes(1, &[1]);
-        }
+    fn new(start: facts::Start) -> Instance {
         Instance {
             door: start.door,
             operations: start.operations,
@@ -141,7 +138,10 @@
 
     fn listed(&mut self, now: f64, r: &Record) -> Result<(), Malformed> {
         let whole = match r.u8(5) {
-            0 => return Ok(()),
+            0 => {
+                self.door.unlisted(now);
+                return Ok(());
+            }
             1 => false,
             2 | 3 => true,
             n => return Err(r.wrong(format!("unknown kind of list {n}"))),
@@ -338,6 +338,9 @@
                 reply.put(110).bytes(1, &held.id.to_le_bytes()).bytes(5, &(delivery as u16).to_le_bytes());
             }
         }
+        if errands.ask_for_list {
+            reply.put(60).bytes(1, &[1]);
+        }
         for line in errands.log {
             reply.with_tail(120, 1, line.as_bytes());
         }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,6 +33,7 @@
 const ASIDE: (f64, f64) = (1.0, 8.0); // a backend set aside: first and longest time
 const REPEATS: (f64, f64) = (0.1, 20.0); // re-deliveries: earned by a first delivery, and saved at most
 const WORDS: f64 = 0.5; // peers are told of good answers this often
+const LIST_AGAIN: f64 = 2.0; // after a list call that failed, give or take half
 const ANSWER_BY: f64 = 0.005; // before the client gives up
 
 // ======== for one delivery
@@ -135,13 +136,13 @@
     Inv(Inv),
     Customer(Customer),
     Words,
+    List,
 }
 
 // ======== for the instance
 pub struct Door {
     rng: ChaCha8Rng,
     doors: f64,
-    peers: bool,
     operations: Vec<Operation>,
     plans: Vec<Plan>,
     rules: ColdStart,
@@ -172,7 +173,7 @@
 
 impl Door {
     pub fn new(
-        (seed, doors, peers): (u64, f64, bool),
+        (seed, doors, peers, asks): (u64, f64, bool, bool),
         (operations, plans): (Vec<Operation>, Vec<Plan>),
         (rules, may): (ColdStart, Deliveries),
         counter: Option<CounterLimits>,
@@ -184,20 +185,26 @@
         let (repeats, pace, misses, silent, rung) = (REPEATS.1 / 2.0, PACE.1, 0, false, 0);
         let (heard, recall, back, paced, calls, again, idle) = (0.0, 0.0, 0.0, 0.0, 0.0, vec![], vec![]);
         #[rustfmt::skip]
-        return Door {
-            rng, doors, peers, operations, plans, rules, may, counter, invs, accounts, backends, high, half,
+        let mut door = Door {
+            rng, doors, operations, plans, rules, may, counter, invs, accounts, backends, high, half,
             base, repeats, misses, heard, silent, recall, back, pace, paced, calls, again, idle, bells, rung,
             errands,
         };
+        let start = [peers.then_some(Bell::Words), asks.then_some(Bell::List)];
+        start.into_iter().flatten().for_each(|bell| door.ring(0.0, bell));
+        door
+    }
+
+    /// The list could not be had, or broke off: it is asked for again, not by all doors at once.
+    pub fn unlisted(&mut self, now: f64) {
+        let at = now + LIST_AGAIN * self.rng.gen_range(0.5..1.5);
+        self.ring(at, Bell::List);
     }
 
     // ======== facts
 
     /// The list, or what changed in it; `whole` replaces it, so what it lacks is gone.
     pub fn listed(&mut self, now: f64, whole: bool, entries: &[Listed]) {
-        if self.peers && self.rung == 0 {
-            self.ring(now + WORDS, Bell::Words);
-        }
         if whole {
             self.backends.values_mut().for_each(|b| b.is.standing = Standing::Gone);
         }
@@ -300,6 +307,7 @@
             match e.remove() {
                 Bell::Inv(inv) => self.again.push(inv),
                 Bell::Customer(c) => self.lapse(now, c),
+                Bell::List => self.errands.ask_for_list = true,
                 Bell::Words => {
                     let good = self.backends.values().filter(|b| b.good > 0.0 && b.good_at > now - WORDS);
                     self.errands.good_word = good.map(|b| b.is.tgt).collect();
@@ -345,6 +353,7 @@
         };
         let may_throttle = may_repeat && bound.is_none();
         let late = now - v.came > objective;
+        let spent = tries >= self.may.most || tries > 0 && (late || ran.is_some() && self.repeats < 1.0);
         if out > 0 {
             // A delivery is doubted when its backend is quiet, or when its answer is long overdue.
             let i = v.deliveries.iter().rposition(|d| d.ending.is_none()).expect("one is out");
@@ -361,15 +370,12 @@
                 self.invs.get_mut(&inv).expect("held").look = f64::INFINITY;
                 return Verdict::NotYet;
             }
-        } else if left <= ANSWER_BY
-            || !may_repeat
-            || tries >= self.may.most
-            || tries > 0 && (late || ran.is_some() && self.repeats < 1.0)
-        {
+        } else if left <= ANSWER_BY || !may_repeat || spent {
             return if may_throttle { throttle(&self.may, 1.0) } else { Verdict::Error };
         }
         let tried: Vec<Tgt> = v.deliveries.iter().map(|d| d.tgt).collect();
-        let (came, a, open) = (v.came, &self.accounts[&customer], self.plans[v.ask.plan].open);
+        let (came, open) = (v.came, self.plans[v.ask.plan].open);
+        let a = &self.accounts[&customer];
         // A cap on deliveries out at once is held by an even share, one at least.
         let full = tries == 0 && open > 0 && a.out as f64 >= (open as f64 / a.doors).ceil();
         let Some(tgt) = (if full { None } else { self.pick(now, operation, &tried, bound) }) else {
@@ -382,9 +388,7 @@
         self.repeats = (self.repeats + REPEATS.0 - f64::from(ran.is_some())).min(REPEATS.1);
         self.look_again(now, inv, high);
         self.invs.get_mut(&inv).expect("held").deliveries.push(Delivery { tgt, sent: now, ending: None });
-        if let Some(a) = self.accounts.get_mut(&customer) {
-            a.out += 1;
-        }
+        self.accounts.get_mut(&customer).expect("has an account").out += 1;
         let b = self.backends.get_mut(&tgt).expect("picked");
         b.quiet_since = if b.out == 0 { now } else { b.quiet_since };
         b.out += 1;
@@ -457,7 +461,7 @@
         let series = (now / WINDOW) as u32;
         if series != a.series {
             let edges = f64::from(series.wrapping_sub(a.series));
-            a.seen = a.seen.filter(|_| edges <= 2.0).map(|s| s - edges * p.rate * WINDOW);
+            a.seen = a.seen.map(|s| s - edges * p.rate * WINDOW);
             a.series = series;
         }
         let regained = p.rate * (now - f64::from(series) * WINDOW);
@@ -585,7 +589,7 @@
         if lapsed && quiet && add.abs() > WORTH && free && self.counter.is_some() {
             (a.lease, a.settle, a.sliced) = (0.0, 0.0, 0.0);
             self.call(customer, series, (add, add), Errand::Return);
-        } else if now >= a.used + IDLE && quiet && a.out == 0 && a.waiting.is_empty() {
+        } else if now >= a.used + IDLE && quiet && !self.invs.values().any(|v| v.ask.customer == customer) {
             self.accounts.remove(&customer);
             self.idle.push(customer);
         }
@@ -660,8 +664,10 @@
         }
         let i = self.rng.gen_range(0..good.len());
         let j = (i + self.rng.gen_range(0..good.len().max(2) - 1) + 1) % good.len();
-        let (x, y) = (good[i], good[j]);
-        Some(if self.load(now, y) < self.load(now, x) { y } else { x })
+        // The units we have out there, against its size, its slowness beside its fellows and its warmth.
+        let load = |b: &Backend| (b.owes + 1.0) * b.high.clamp(0.5, 5.0) / b.is.size / self.share(now, b);
+        let (x, y) = (&self.backends[&good[i]], &self.backends[&good[j]]);
+        Some(if load(y) < load(x) { y.is.tgt } else { x.is.tgt })
     }
 
     /// The part of its capacity that a backend has at least, by the time since its start.
@@ -670,12 +676,6 @@
         (self.rules.cold_from + (1.0 - self.rules.cold_from) * age / self.rules.warm_after).clamp(0.01, 1.0)
     }
 
-    /// Our own deliveries out, against the backend's size, its slowness beside its fellows and its warmth.
-    fn load(&self, now: f64, tgt: Tgt) -> f64 {
-        let b = &self.backends[&tgt];
-        (b.owes + 1.0) * b.high.clamp(0.5, 5.0) / b.is.size.max(0.01) / self.share(now, b)
-    }
-
     /// What an outcome says of its backend.
     fn judge(&mut self, now: f64, ask: &Ask, sent: f64, o: &Outcome) {
         let (op, units) = (ask.operation, ask.units.max(1.0));
--- a/src/types.rs
+++ b/src/types.rs
@@ -159,6 +159,8 @@
     /// Backends that this front door has had good answers from, to tell its peers.
     pub good_word: Vec<Tgt>,
     pub cancels: Vec<(Inv, usize)>,
+    /// Ask the list service for changes from now on.
+    pub ask_for_list: bool,
     pub log: Vec<String>,
 }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -27,13 +27,13 @@
     check(
         &mut d,
         expect![[r#"
-        30.000 0 comes: not yet
-        30.000 count 1: +3.00
-        30.010 0: to 0
-        30.100 1 comes: to 1
-        31.020 count 1: -1.00
-        31.020 1: to 0
-    "#]],
+            30.000 0 comes: not yet
+            30.000 count 1: +3.00
+            30.010 0: to 0
+            30.100 1 comes: to 1
+            31.020 count 1: -1.00
+            31.020 1: to 0
+        "#]],
     );
 }
 
@@ -47,13 +47,13 @@
     check(
         &mut d,
         expect![[r#"
-        30.000 0 comes: not yet
-        30.000 count 1: +1.00
-        30.001 1 comes: not yet
-        30.010 0: to 2
-        30.010 count 1: +1.00
-        30.010 1: to 0
-    "#]],
+            30.000 0 comes: not yet
+            30.000 count 1: +1.00
+            30.001 1 comes: not yet
+            30.010 0: to 2
+            30.010 count 1: +1.00
+            30.010 1: to 0
+        "#]],
     );
 }
 
@@ -69,15 +69,15 @@
     check(
         &mut d,
         expect![[r#"
-        30.000 0 comes: not yet
-        30.000 count 1: +3.00
-        30.000 count 1: -2.00
-        30.000 0: throttled, 1.00 s
-        30.500 1 comes: throttled, 0.50 s
-        31.000 count 1: -1.00
-        31.600 2 comes: not yet
-        31.600 count 1: +1.00
-    "#]],
+            30.000 0 comes: not yet
+            30.000 count 1: +3.00
+            30.000 count 1: -2.00
+            30.000 0: throttled, 1.00 s
+            30.500 1 comes: throttled, 0.50 s
+            31.000 count 1: -1.00
+            31.600 2 comes: not yet
+            31.600 count 1: +1.00
+        "#]],
     );
 }
 
@@ -133,13 +133,13 @@
     check(
         &mut d,
         expect![[r#"
-        30.000 0 comes: not yet
-        30.000 count 1: +6.00
-        30.030 0: to 2
-        30.100 1 comes: not yet
-        30.100 count 1: +7.00
-        30.130 1: throttled, 2.00 s
-    "#]],
+            30.000 0 comes: not yet
+            30.000 count 1: +6.00
+            30.030 0: to 2
+            30.100 1 comes: not yet
+            30.100 count 1: +7.00
+            30.130 1: throttled, 2.00 s
+        "#]],
     );
 }
 
@@ -203,11 +203,11 @@
     check(
         &mut d,
         expect![[r#"
-        30.000 0 comes: not yet
-        30.000 count 1: +1.00
-        30.000 0: to 0
-        33.996 0 NotConnected: throttled, 1.00 s
-    "#]],
+            30.000 0 comes: not yet
+            30.000 count 1: +1.00
+            30.000 0: to 0
+            33.996 0 NotConnected: throttled, 1.00 s
+        "#]],
     );
 }
 
@@ -245,13 +245,13 @@
     check(
         &mut d,
         expect![[r#"
-        30.000 0 comes: not yet
-        30.000 count 1: +1.00
-        30.000 0: to 2
-        30.100 0 Broken: to 3
-        30.100 log: backend 2 aside for 1 s: 1 bad in a row, last Broken
-        30.600 0 Errored: error
-    "#]],
+            30.000 0 comes: not yet
+            30.000 count 1: +1.00
+            30.000 0: to 2
+            30.100 0 Broken: to 3
+            30.100 log: backend 2 aside for 1 s: 1 bad in a row, last Broken
+            30.600 0 Errored: error
+        "#]],
     );
 }
 
@@ -269,19 +269,19 @@
     check(
         &mut d,
         expect![[r#"
-        30.000 0 comes: not yet
-        30.000 count 1: +1.00
-        30.000 0: to 0
-        30.800 0: to 1
-        30.900 0 Succeeded: not yet
-        30.900 cancel 0.0
-        31.000 1 comes: not yet
-        31.000 count 1: +2.00
-        31.000 1: to 1
-        31.800 1: to 0
-        31.900 1 Succeeded: not yet
-        31.900 cancel 1.0
-    "#]],
+            30.000 0 comes: not yet
+            30.000 count 1: +1.00
+            30.000 0: to 0
+            30.800 0: to 1
+            30.900 0 Succeeded: not yet
+            30.900 cancel 0.0
+            31.000 1 comes: not yet
+            31.000 count 1: +2.00
+            31.000 1: to 1
+            31.800 1: to 0
+            31.900 1 Succeeded: not yet
+            31.900 cancel 1.0
+        "#]],
     );
 }
 
@@ -298,13 +298,13 @@
     check(
         &mut d,
         expect![[r#"
-        30.000 0 comes: not yet
-        30.000 count 1: +1.00
-        30.000 0: to 0
-        30.010 1 comes: not yet
-        30.010 count 1: +1.00
-        30.120 1: throttled, 1.00 s
-    "#]],
+            30.000 0 comes: not yet
+            30.000 count 1: +1.00
+            30.000 0: to 0
+            30.010 1 comes: not yet
+            30.010 count 1: +1.00
+            30.120 1: throttled, 1.00 s
+        "#]],
     );
 }
 
@@ -321,13 +321,13 @@
     check(
         &mut d,
         expect![[r#"
-        30.000 0 comes: not yet
-        30.000 count 1: +1.00
-        30.000 0: to 1
-        30.200 1 comes: not yet
-        30.200 count 1: +1.00
-        30.400 1: throttled, 1.00 s
-    "#]],
+            30.000 0 comes: not yet
+            30.000 count 1: +1.00
+            30.000 0: to 1
+            30.200 1 comes: not yet
+            30.200 count 1: +1.00
+            30.400 1: throttled, 1.00 s
+        "#]],
     );
 }
 
@@ -344,17 +344,17 @@
     check(
         &mut d,
         expect![[r#"
-        30.000 0 comes: not yet
-        30.000 count 1: +1.00
-        30.000 0: to 0
-        30.200 0 Succeeded: not yet
-        30.300 1 comes: not yet
-        30.300 count 1: +1.00
-        30.450 1: throttled, 1.00 s
-        30.500 1 Succeeded: not yet
-        31.100 2 comes: to 0
-        31.300 2 Succeeded: not yet
-    "#]],
+            30.000 0 comes: not yet
+            30.000 count 1: +1.00
+            30.000 0: to 0
+            30.200 0 Succeeded: not yet
+            30.300 1 comes: not yet
+            30.300 count 1: +1.00
+            30.450 1: throttled, 1.00 s
+            30.500 1 Succeeded: not yet
+            31.100 2 comes: to 0
+            31.300 2 Succeeded: not yet
+        "#]],
     );
 }
 
@@ -374,22 +374,22 @@
     check(
         &mut d,
         expect![[r#"
-        30.000 0 comes: not yet
-        30.000 count 1: +1.00
-        30.000 0: to 0
-        30.200 0 Broken: throttled, 1.00 s
-        30.200 log: backend 0 aside for 1 s: 1 bad in a row, last Broken
-        33.000 1 comes: not yet
-        33.000 count 1: +6.00
-        33.000 1: to 0
-        33.200 1 Broken: throttled, 1.00 s
-        33.200 log: backend 0 aside for 2 s: 2 bad in a row, last Broken
-        36.000 2 comes: not yet
-        36.000 count 1: +6.00
-        36.000 2: to 0
-        36.200 2 Broken: throttled, 1.00 s
-        36.200 log: backend 0 aside for 4 s: 3 bad in a row, last Broken
-    "#]],
+            30.000 0 comes: not yet
+            30.000 count 1: +1.00
+            30.000 0: to 0
+            30.200 0 Broken: throttled, 1.00 s
+            30.200 log: backend 0 aside for 1 s: 1 bad in a row, last Broken
+            33.000 1 comes: not yet
+            33.000 count 1: +6.00
+            33.000 1: to 0
+            33.200 1 Broken: throttled, 1.00 s
+            33.200 log: backend 0 aside for 2 s: 2 bad in a row, last Broken
+            36.000 2 comes: not yet
+            36.000 count 1: +6.00
+            36.000 2: to 0
+            36.200 2 Broken: throttled, 1.00 s
+            36.200 log: backend 0 aside for 4 s: 3 bad in a row, last Broken
+        "#]],
     );
 }
 
@@ -425,14 +425,14 @@
     check(
         &mut d,
         expect![[r#"
-        30.000 0 comes: not yet
-        30.000 count 1: +1.00
-        30.000 0: to 0
-        30.010 1 comes: not yet
-        30.010 count 1: +1.00
-        30.100 0 Succeeded: not yet
-        30.110 1: to 2
-    "#]],
+            30.000 0 comes: not yet
+            30.000 count 1: +1.00
+            30.000 0: to 0
+            30.010 1 comes: not yet
+            30.010 count 1: +1.00
+            30.100 0 Succeeded: not yet
+            30.110 1: to 2
+        "#]],
     );
 }
 
@@ -448,11 +448,11 @@
     check(
         &mut d,
         expect![[r#"
-        30.000 0 comes: not yet
-        30.000 count 1: +1.00
-        30.000 0: to 0
-        31.200 count 1: +3.00
-    "#]],
+            30.000 0 comes: not yet
+            30.000 count 1: +1.00
+            30.000 0: to 0
+            31.200 count 1: +3.00
+        "#]],
     );
 }
 
@@ -489,3 +489,40 @@
     "#]],
     );
 }
+
+/// A list call that failed was never made again.
+#[test]
+fn a_list_that_could_not_be_had_is_asked_for_again() {
+    let mut d = idempotent(1);
+    d.wait(30.0);
+    d.door.unlisted(30.1);
+    d.wait(30.2);
+    d.wait(33.2);
+    check(
+        &mut d,
+        expect![[r#"
+            33.200 asks for the list
+        "#]],
+    );
+}
+
+/// A customer whose invocation is held for longer than it takes to forget the idle lost its account.
+#[test]
+fn a_customer_with_an_invocation_in_hand_is_not_forgotten() {
+    let mut d = idempotent(1);
+    d.comes(30.0, 0, 1.0);
+    d.counter(30.0);
+    d.wait(60.0);
+    d.counter(60.0);
+    d.ends(61.0, 0, 0, 0, Broken, 31.0);
+    check(
+        &mut d,
+        expect![[r#"
+            30.000 0 comes: not yet
+            30.000 count 1: +1.00
+            30.000 0: to 0
+            61.000 0 Broken: throttled, 1.00 s
+            61.000 log: backend 0 aside for 1 s: 1 bad in a row, last Broken
+        "#]],
+    );
+}
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -28,7 +28,7 @@
 pub fn desk(operations: Vec<Operation>, plans: Vec<Plan>, may: Deliveries, backends: usize) -> Desk {
     let cold = ColdStart { cold_from: 0.2, warm_after: 10.0, fall_after: 1.0 };
     let counter = Some(CounterLimits { timeout: 0.05 });
-    let door = Door::new((7, 2.0, false), (operations, plans), (cold, may), counter);
+    let door = Door::new((7, 2.0, false, false), (operations, plans), (cold, may), counter);
     let mut desk = Desk { door, asks: vec![], calls: vec![], counts: BTreeMap::new(), text: String::new() };
     let list: Vec<Listed> = (0..backends).map(listed).collect();
     desk.door.listed(30.0, true, &list);
@@ -116,6 +116,9 @@
         for (inv, delivery) in errands.cancels {
             writeln!(self.text, "{now:.3} cancel {inv}.{delivery}").expect("writes");
         }
+        if errands.ask_for_list {
+            writeln!(self.text, "{now:.3} asks for the list").expect("writes");
+        }
         for line in errands.log {
             writeln!(self.text, "{now:.3} log: {line}").expect("writes");
         }
