--- a/drill/src/host.rs
+++ b/drill/src/host.rs
@@ -377,3 +377,54 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::frame;
+    use expect_test::expect;
+
+    /// What the host says of a frame of these event records and this tail.
+    fn said(records: &[Vec<u8>], tail: &[u8]) -> String {
+        let mut bytes = (records.len() as u32).to_le_bytes().to_vec();
+        bytes.extend(((16 + records.len() * frame::EVENT + tail.len()) as u32).to_le_bytes());
+        bytes.extend(7_000_000u64.to_le_bytes());
+        for r in records {
+            bytes.extend(r);
+            bytes.resize(bytes.len() + frame::EVENT - r.len(), 0);
+        }
+        bytes.extend(tail);
+        match frame::read(&mut &bytes[..]) {
+            Err(e) => format!("stop: {e}\n"),
+            Ok(None) => "end\n".into(),
+            Ok(Some(Err(e))) => format!("broken: {e}\n"),
+            Ok(Some(Ok(batch))) => {
+                let reply = Host::default().answer(&batch);
+                let n = u32::from_le_bytes(reply[..4].try_into().expect("four bytes")) as usize;
+                format!("broken: {}\n", String::from_utf8_lossy(&reply[8 + n * frame::ACTION..]))
+            }
+        }
+    }
+
+    #[test]
+    fn malformed_input_is_named_and_never_a_panic() {
+        let door = vec![10, 3, 0, 0, 0];
+        let start = |n: u8| [vec![60], vec![0; 8], vec![0, 0, 0, 0, n, 0, 0, 0]].concat();
+        let mut all = said(&[vec![120]], &[]);
+        all += &said(&[door.clone(), vec![120]], &[]);
+        all += &said(&[door.clone(), start(9)], b"short");
+        all += &said(&[door.clone(), start(5)], b"short");
+        all += &said(&[door, start(13)], b"{\"tiers\": []}");
+        let cut = frame::read(&mut &[1u8, 0, 0][..]).map(|_| ()).expect_err("cut short");
+        all += &format!("stop: {cut}\n");
+        expect![[r#"
+            broken: record 0 (code 120): no instance was named before it
+            broken: record 1 (code 120): instance 3 has not started
+            broken: record 1 (code 60): offset 0 with 9 x 1 bytes lies outside the tail of 5
+            broken: record 1 (code 60): settings: expected value at line 1 column 1
+            broken: record 1 (code 60): settings: missing field `balancers` at line 1 column 13
+            stop: frame header cut short: 3 of 16 bytes
+        "#]]
+        .assert_eq(&all);
+    }
+}
