A door that stood still blames no backend for the silence

Change: when our own timers are more than 0.1 s late, quiet times and fading start anew. Also covers a machine short of CPU. Harm: a hanging backend is found later by the length of the stall.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -2,7 +2,6 @@
 //! `counted`, `peer_word`, `gone`, `streaming`) and asks three things: `place` (where does this invocation
 //! go, or not yet, or never), `after` (what now, after this outcome), `wait` (how long until the next look,
 //! and whom to ask about again). It keeps the timer and the held invocations; errands leave with the answers.
-//!
 //! Quota: a customer's count on the counter service holds the units taken since its window began. The store
 //! it stands for regains `rate` a second, so the allowance is the burst plus that, and a count that lags
 //! behind what the store regained is lifted to it (a full store spills); so is a forgotten or a new count.
@@ -33,6 +32,7 @@
 const ASIDE: (f64, f64) = (1.0, 8.0); // a backend set aside: first and longest time
 const REPEATS: (f64, f64) = (0.1, 20.0); // re-deliveries: earned by a first delivery, and saved at most
 const WORDS: f64 = 0.5; // peers are told of good answers this often
+const STALL: f64 = 0.1; // our own timers so late: the door stood still
 const LIST_AGAIN: f64 = 2.0; // after a list call that failed, give or take half
 const ANSWER_BY: f64 = 0.005; // before the client gives up
 
@@ -159,6 +159,7 @@
     heard: f64,
     silent: bool,
     recall: f64,
+    woke: f64,
     back: f64, // when it last came back
     pace: f64, // counter calls a second that we allow ourselves
     paced: f64,
@@ -182,12 +183,13 @@
         let (half, base) = (high.clone(), high.clone());
         let (invs, accounts, backends) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         let (rng, bells, errands) = (ChaCha8Rng::seed_from_u64(seed), BTreeMap::new(), Errands::default());
-        let (repeats, pace, misses, silent, rung) = (REPEATS.1 / 2.0, PACE.1, 0, false, 0);
+        let (repeats, pace, misses, silent, rung, woke) =
+            (REPEATS.1 / 2.0, PACE.1, 0, false, 0, f64::INFINITY);
         let (heard, recall, back, paced, calls, again, idle) = (0.0, 0.0, 0.0, 0.0, 0.0, vec![], vec![]);
         #[rustfmt::skip]
         let mut door = Door {
-            rng, doors, operations, plans, rules, may, counter, invs, accounts, backends, high, half,
-            base, repeats, misses, heard, silent, recall, back, pace, paced, calls, again, idle, bells, rung,
+            rng, doors, operations, plans, rules, may, counter, invs, accounts, backends, high, half, base,
+            repeats, misses, heard, silent, recall, woke, back, pace, paced, calls, again, idle, bells, rung,
             errands,
         };
         let start = [peers.then_some(Bell::Words), asks.then_some(Bell::List)];
@@ -222,16 +224,13 @@
     pub fn peer_word(&mut self, now: f64, tgt: Tgt) {
         let Some(b) = self.backends.get_mut(&tgt) else { return };
         // The word may be older than our trouble: half of the span comes first.
-        if let Some(a) = b.aside.as_mut().filter(|a| a.until - now < a.span / 2.0) {
-            a.until = now;
-        }
+        b.aside = b.aside.map(|a| if a.until - now < a.span / 2.0 { Aside { until: now, ..a } } else { a });
     }
 
     /// A stream has begun: the invocation is bound to its delivery and owes nothing by the clock.
     pub fn streaming(&mut self, inv: Inv) {
-        if let Some(v) = self.invs.get_mut(&inv) {
-            (v.look, v.ask.until) = (f64::INFINITY, f64::INFINITY);
-        }
+        let Some(v) = self.invs.get_mut(&inv) else { return };
+        (v.look, v.ask.until) = (f64::INFINITY, f64::INFINITY);
     }
 
     /// What came of a counter call.
@@ -240,18 +239,13 @@
         let Some(i) = a.calls.iter().position(|c| c.series == name.series) else { return };
         let call = a.calls.remove(i).expect("position found");
         if let Counted::Total(total) = result {
-            self.heard(now);
-            self.credit(now, name, &call, total);
-            return;
+            return self.credit(now, name, &call, total);
         }
         // Unanswered may have been added: what it paid is taken as paid, so that nothing is added twice.
         a.settle += if result == Counted::Unreached { call.paid } else { 0.0 };
-        for inv in std::mem::take(&mut a.waiting) {
-            if let Some(v) = self.invs.get_mut(&inv) {
-                v.counter_until = now;
-                self.again.push(inv);
-            }
-        }
+        let waited = self.invs.iter_mut().filter(|(inv, _)| a.waiting.contains(inv));
+        waited.for_each(|(_, v)| v.counter_until = now);
+        self.again.append(&mut a.waiting);
         self.missed(now);
     }
 
@@ -259,6 +253,7 @@
 
     /// Where to send this invocation, or not yet, or never. Asked first when it comes, then as `wait` says.
     pub fn place(&mut self, now: f64, inv: Inv, ask: &Ask) -> Answer {
+        self.awake(now);
         if !self.invs.contains_key(&inv) {
             self.heard = if self.heard == 0.0 { now } else { self.heard };
             let longest = self.counter.map_or(0.0, |c| c.timeout).min((ask.until - now) / 4.0);
@@ -282,6 +277,7 @@
 
     /// What to do after this outcome.
     pub fn after(&mut self, now: f64, inv: Inv, o: &Outcome) -> Answer {
+        self.awake(now);
         let Some(v) = self.invs.get_mut(&inv) else { return self.answer(inv, Verdict::NotYet) };
         let (ask, sent) = (v.ask, v.deliveries[o.delivery].sent);
         v.deliveries[o.delivery].ending = Some(o.ending);
@@ -324,6 +320,16 @@
         Wait { again, idle, seconds, errands }
     }
 
+    /// The door itself stood still: the silence meanwhile is not its backends'.
+    fn awake(&mut self, now: f64) {
+        let late = self.bells.keys().next().map_or(0.0, |k| now - f64::from_bits(k.0));
+        if now > self.woke && late > STALL {
+            self.backends.values_mut().for_each(|b| (b.quiet_since, b.good_at) = (now, now));
+            self.errands.log.push(format!("stood still for {late:.2} s"));
+        }
+        self.woke = now;
+    }
+
     // ======== the course of one invocation
 
     /// Quota first; then the next delivery, as far as the operation allows one.
@@ -395,9 +401,7 @@
         b.owes += units;
         b.sent.push_back((now, units));
         b.sent.retain(|s| s.0 > now - self.rules.fall_after);
-        if let Some(a) = &mut b.aside {
-            a.until = a.until.max(now + a.span); // one trial in each span
-        }
+        b.aside = b.aside.map(|a| Aside { until: a.until.max(now + a.span), ..a }); // one trial a span
         Verdict::Deliver { tgt }
     }
 
@@ -520,6 +524,7 @@
 
     /// An answered call: right the count where it lags or was lifted twice, keep what fits, return the rest.
     fn credit(&mut self, now: f64, name: CountName, call: &Call, total: f64) {
+        self.heard(now);
         let a = self.accounts.get_mut(&name.customer).expect("has calls");
         let p = &self.plans[a.plan];
         let small = p.burst * SPILL;
@@ -550,14 +555,14 @@
             a.seen = Some(total + lift - back);
         }
         a.settle -= if back > WORTH { 0.0 } else { back };
-        let lapses = a.lapses;
+
         if lift > small || lift > WORTH && lost {
             self.call(name.customer, call.series, (lift, 0.0), Errand::Lift { level: level + call.add });
         }
         if back > WORTH {
             self.call(name.customer, call.series, (-back, -back), Errand::Return);
         }
-        self.look_after(name.customer, lapses);
+        self.look_after(name.customer, now + LAPSE);
     }
 
     /// Units of an invocation that was never sent on serve the customer's next.
@@ -620,8 +625,10 @@
 
     /// Two drawn at random among those in good standing; the one our own counts favour wins.
     fn pick(&mut self, now: f64, op: usize, tried: &[Tgt], kin: Option<(Group, Tgt)>) -> Option<Tgt> {
-        let kin = kin.and_then(|(g, t)| self.backends.get(&t).map(|b| (g, b.is.zone, b.is.cell)));
-        let ready = || self.backends.values().filter(|b| b.is.standing == Standing::Ready);
+        let key = |b: &Backend, g| if g == Group::Zone { b.is.zone } else { b.is.cell };
+        let kin = kin.and_then(|(g, t)| self.backends.get(&t).map(|b| (g, key(b, g))));
+        let fits = |b: &&Backend| b.is.standing == Standing::Ready && kin.is_none_or(|(g, k)| key(b, g) == k);
+        let ready = || self.backends.values().filter(fits);
         let (high, effect) = (self.high[op], self.operations[op].effect);
         // What hangs at troubled backends says nothing of the others.
         let well = || ready().filter(|b| b.aside.is_none() && !b.quiet(now, high));
@@ -635,9 +642,6 @@
         }
         let (mut good, mut poor, mut pressed) = (vec![], vec![], false);
         for b in ready() {
-            if kin.is_some_and(|(g, z, c)| if g == Group::Zone { b.is.zone != z } else { b.is.cell != c }) {
-                continue;
-            }
             // Cold: no more than its share of what a warm one answers us. All doors doing so, it gets a share
             // of a warm one's load, which is under what it can do.
             let share = self.share(now, b);
@@ -659,10 +663,7 @@
             good = poor.iter().copied().filter(|t| !tried.contains(t)).collect();
             good = if good.is_empty() { poor } else { good };
         }
-        if good.is_empty() {
-            return None;
-        }
-        let i = self.rng.gen_range(0..good.len());
+        let i = (!good.is_empty()).then(|| self.rng.gen_range(0..good.len()))?;
         let j = (i + self.rng.gen_range(0..good.len().max(2) - 1) + 1) % good.len();
         // The units we have out there, against its size, its slowness beside its fellows and its warmth.
         let load = |b: &Backend| (b.owes + 1.0) * b.high.clamp(0.5, 5.0) / b.is.size / self.share(now, b);
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -42,6 +42,7 @@
 impl Desk {
     /// An invocation of customer 0 comes, with 4 s before its client gives up.
     pub fn comes(&mut self, now: f64, operation: usize, units: f64) -> Inv {
+        self.wait(now);
         self.asks.push(Ask { operation, plan: 0, customer: 0, units, doors: 2, until: now + 4.0 });
         let inv = self.asks.len() - 1;
 
@@ -71,6 +72,7 @@
     }
 
     pub fn ends(&mut self, now: f64, inv: Inv, delivery: usize, tgt: Tgt, ending: Ending, took: f64) {
+        self.wait(now);
         let closed = ending == Ending::Succeeded;
         let outcome = Outcome { delivery, tgt, ending, took, closed, true_units: None };
         let answer = self.door.after(now, inv, &outcome);
