Tidy the module after a last reading; decisions unchanged

The fact unlisted stands with the other facts and in the head; stray blank lines and a needless reference are gone; a backend is asked whether it is quiet only where the answer is used.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,7 +1,8 @@
 //! All decisions of one front door. Its interface is in `types.rs`. The caller tells facts (`listed`,
-//! `counted`, `peer_word`, `gone`, `streaming`) and asks three things: `place` (where does this invocation
-//! go, or not yet, or never), `after` (what now, after this outcome), `wait` (how long until the next look,
-//! and whom to ask about again). It keeps the timer and the held invocations; errands leave with the answers.
+//! `unlisted`, `counted`, `peer_word`, `gone`, `streaming`) and asks three things: `place` (where does this
+//! invocation go, or not yet, or never), `after` (what now, after this outcome), `wait` (how long until the
+//! next look, and whom to ask about again). It keeps the timer and the held invocations; errands (counter
+//! calls, words, cancels, log lines) leave with the answers.
 //! Quota: a customer's count on the counter service holds the units taken since its window began. The store
 //! it stands for regains `rate` a second, so the allowance is the burst plus that, and a count that lags
 //! behind what the store regained is lifted to it (a full store spills); so is a forgotten or a new count.
@@ -163,8 +164,7 @@
     back: f64, // when it last came back
     pace: f64, // counter calls a second that we allow ourselves
     paced: f64,
-
-    calls: f64,
+    calls: f64, // of them, saved up
     again: Vec<Inv>,
     idle: Vec<Customer>,
     bells: BTreeMap<(u64, u64), Bell>,
@@ -197,12 +197,6 @@
         door
     }
 
-    /// The list could not be had, or broke off: it is asked for again, not by all doors at once.
-    pub fn unlisted(&mut self, now: f64) {
-        let at = now + LIST_AGAIN * self.rng.gen_range(0.5..1.5);
-        self.ring(at, Bell::List);
-    }
-
     // ======== facts
 
     /// The list, or what changed in it; `whole` replaces it, so what it lacks is gone.
@@ -220,6 +214,12 @@
         }
     }
 
+    /// The list could not be had, or broke off: it is asked for again, not by all doors at once.
+    pub fn unlisted(&mut self, now: f64) {
+        let at = now + LIST_AGAIN * self.rng.gen_range(0.5..1.5);
+        self.ring(at, Bell::List);
+    }
+
     /// A peer has had good answers from this backend: one set aside may be tried again.
     pub fn peer_word(&mut self, now: f64, tgt: Tgt) {
         let Some(b) = self.backends.get_mut(&tgt) else { return };
@@ -334,7 +334,7 @@
 
     /// Quota first; then the next delivery, as far as the operation allows one.
     fn decide(&mut self, now: f64, inv: Inv) -> Verdict {
-        if !&self.invs[&inv].admitted {
+        if !self.invs[&inv].admitted {
             if let Some(no) = self.quota(now, inv) {
                 return no;
             }
@@ -364,10 +364,10 @@
             // A delivery is doubted when its backend is quiet, or when its answer is long overdue.
             let i = v.deliveries.iter().rposition(|d| d.ending.is_none()).expect("one is out");
             let d = &v.deliveries[i];
-            let quiet = self.backends.get(&d.tgt).is_some_and(|b| b.quiet(now, self.high[operation]));
             if now < v.look || op.effect != Effect::Idempotent || late || tries >= self.may.most {
                 return Verdict::NotYet;
             }
+            let quiet = self.backends.get(&d.tgt).is_some_and(|b| b.quiet(now, self.high[operation]));
             if self.repeats < 1.0 || !(quiet || now - d.sent > DOUBT * high) {
                 return self.look_again(now, inv, high / 2.0);
             }
@@ -555,7 +555,6 @@
             a.seen = Some(total + lift - back);
         }
         a.settle -= if back > WORTH { 0.0 } else { back };
-
         if lift > small || lift > WORTH && lost {
             self.call(name.customer, call.series, (lift, 0.0), Errand::Lift { level: level + call.add });
         }
@@ -689,7 +688,6 @@
                 toward(high, o.took / units, HIGH);
                 toward(half, o.took, 0.5);
                 toward(&mut b.high, o.took / units / *high, HIGH);
-
                 *base = (*base * (1.0 + DRIFT)).min(*half);
                 b.good = b.good * ((b.good_at - now) / RATE_SPAN).exp() + units;
                 (b.good_at, b.quiet_since, b.fails) = (now, now, 0);
