Peers hear of a backend's return as news, not of all good ones twice a second

Now only the first gateway that had a backend aside and is answered again says so. Harm: a gateway that misses the word waits its own time out.

--- a/drill/src/host.rs
+++ b/drill/src/host.rs
@@ -279,10 +279,16 @@
     }
 
     fn peer_said(&mut self, now: f64, r: &Record) -> Result<(), Malformed> {
-        for address in r.tail(5, 1)?.chunks_exact(6) {
-            if let Some(&tgt) = self.by_address.get(address) {
-                self.door.peer_word(now, tgt);
+        let body = r.tail(5, 1)?;
+        match body.len() {
+            // A backend, the operation, and whether it answers that.
+            8 => {
+                let operation = usize::from(body[6]);
+                if let Some(&tgt) = self.by_address.get(&body[..6]).filter(|_| operation < self.operations) {
+                    self.door.peer_word(now, Word::Backend { tgt, operation, well: body[7] != 0 });
+                }
             }
+            n => return Err(r.wrong(format!("a word of {n} bytes"))),
         }
         Ok(())
     }
@@ -328,10 +334,13 @@
             let add = (c.add as f32).to_le_bytes();
             reply.put(70).bytes(1, &name.to_le_bytes()).bytes(9, &add).micros(13, c.lives);
         }
-        if !errands.good_word.is_empty() {
-            let mut body: Vec<u8> = errands.good_word.iter().flat_map(|t| self.addresses[*t]).collect();
-            body.truncate(252);
-            reply.with_tail(90, 3, &body).bytes(1, &[0xff, 0xff]);
+        for word in errands.words {
+            match word {
+                Word::Backend { tgt, operation, well } => {
+                    let body = [&self.addresses[tgt][..], &[operation as u8, u8::from(well)]].concat();
+                    reply.with_tail(90, 3, &body).bytes(1, &[0xff, 0xff]);
+                }
+            }
         }
         for (inv, delivery) in errands.cancels {
             if let Some(held) = self.held[inv].as_ref() {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,7 +32,7 @@
 const RATE_SPAN: f64 = 2.0; // answers are counted over about so long
 const ASIDE: (f64, f64) = (1.0, 8.0); // a backend set aside: first and longest time
 const REPEATS: (f64, f64) = (0.1, 20.0); // re-deliveries: earned by a first delivery, and saved at most
-const WORDS: f64 = 0.5; // peers are told of good answers this often
+const WORDS: f64 = 0.5; // peers are told of one thing no more often
 const STALL: f64 = 0.1; // our own timers so late: the door stood still
 const LIST_AGAIN: f64 = 2.0; // after a list call that failed, give or take half
 const ANSWER_BY: f64 = 0.005; // before the client gives up
@@ -117,6 +117,7 @@
     good: f64,                  // units answered, fading over the span
     good_at: f64,
     known: f64, // since when we have it on the list as it is
+    praised: f64,
 }
 
 impl Backend {
@@ -136,7 +137,6 @@
 enum Bell {
     Inv(Inv),
     Customer(Customer),
-    Words,
     List,
 }
 
@@ -144,6 +144,7 @@
 pub struct Door {
     rng: ChaCha8Rng,
     doors: f64,
+    peers: bool,
     operations: Vec<Operation>,
     plans: Vec<Plan>,
     rules: ColdStart,
@@ -188,12 +189,13 @@
         let (heard, recall, back, paced, calls, again, idle) = (0.0, 0.0, 0.0, 0.0, 0.0, vec![], vec![]);
         #[rustfmt::skip]
         let mut door = Door {
-            rng, doors, operations, plans, rules, may, counter, invs, accounts, backends, high, half, base,
+            rng, doors, peers, operations, plans, rules, may, counter, invs, accounts, backends, high, half, base,
             repeats, misses, heard, silent, recall, woke, back, pace, paced, calls, again, idle, bells, rung,
             errands,
         };
-        let start = [peers.then_some(Bell::Words), asks.then_some(Bell::List)];
-        start.into_iter().flatten().for_each(|bell| door.ring(0.0, bell));
+        if asks {
+            door.ring(0.0, Bell::List);
+        }
         door
     }
 
@@ -220,9 +222,11 @@
         self.ring(at, Bell::List);
     }
 
-    /// A peer has had good answers from this backend: one set aside may be tried again.
-    pub fn peer_word(&mut self, now: f64, tgt: Tgt) {
+    /// A peer had this backend aside and has had a good answer since: it may be tried again.
+    pub fn peer_word(&mut self, now: f64, word: Word) {
+        let Word::Backend { tgt, .. } = word;
         let Some(b) = self.backends.get_mut(&tgt) else { return };
+        b.praised = now;
         // The word may be older than our trouble: half of the span comes first.
         b.aside = b.aside.map(|a| if a.until - now < a.span / 2.0 { Aside { until: now, ..a } } else { a });
     }
@@ -304,11 +308,6 @@
                 Bell::Inv(inv) => self.again.push(inv),
                 Bell::Customer(c) => self.lapse(now, c),
                 Bell::List => self.errands.ask_for_list = true,
-                Bell::Words => {
-                    let good = self.backends.values().filter(|b| b.good > 0.0 && b.good_at > now - WORDS);
-                    self.errands.good_word = good.map(|b| b.is.tgt).collect();
-                    self.ring(now + WORDS, Bell::Words);
-                }
             }
         }
         self.again.sort_unstable();
@@ -692,6 +691,11 @@
                 b.good = b.good * ((b.good_at - now) / RATE_SPAN).exp() + units;
                 (b.good_at, b.quiet_since, b.fails) = (now, now, 0);
                 if b.aside.take().is_some() {
+                    // Peers hear it from the first that finds out.
+                    if self.peers && now > b.praised + WORDS {
+                        b.praised = now;
+                        self.errands.words.push(Word::Backend { tgt: o.tgt, operation: op, well: true });
+                    }
                     self.errands.log.push(format!("backend {} back: answered in {:.3} s", o.tgt, o.took));
                 }
             }
--- a/src/types.rs
+++ b/src/types.rs
@@ -144,6 +144,13 @@
     pub lives: f64,
 }
 
+/// What front doors tell each other.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Word {
+    /// To all: whether this backend answers this operation.
+    Backend { tgt: Tgt, operation: usize, well: bool },
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Verdict {
     Deliver { tgt: Tgt },
@@ -156,8 +163,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Errands {
     pub counter: Vec<CounterCall>,
-    /// Backends that this front door has had good answers from, to tell its peers.
-    pub good_word: Vec<Tgt>,
+    pub words: Vec<Word>,
     pub cancels: Vec<(Inv, usize)>,
     /// Ask the list service for changes from now on.
     pub ask_for_list: bool,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -369,7 +369,7 @@
         d.counter(t);
         d.ends(t + 0.2, inv, 0, 0, Broken, 0.2);
         t += 3.0;
-        d.door.peer_word(t - 0.1, 0);
+        d.door.peer_word(t - 0.1, Word::Backend { tgt: 0, operation: 0, well: true });
     }
     check(
         &mut d,
