Full size: pace of calls by all doors, trust, count words, one limit on all out

Changes: the pace is shared by all doors; a customer known full is refused first; one the counter can't be asked about goes into debt of its slice, up to a quarter of the burst, where that earns more than it costs; a nearly full count is told to the customer's other doors; one limit on all that is out, up by answers, down by slow ones (median below a third of the objective); a cold backend is open to a share of the invocations; open connections are preferred while new ones fail.

The state's plain structs moved to state.rs: types only. Harm: trust lets use beyond quotas in while the counter is crowded.

--- a/drill/src/facts.rs
+++ b/drill/src/facts.rs
@@ -12,12 +12,14 @@
     classes: Vec<Class>,
     extra: Extra,
     rules: Rules,
+    slot_no: usize,
     tariffs: Vec<Tariff>,
 }
 
 #[derive(Deserialize)]
 struct Caps {
     cancel: bool,
+    conn_idle_us: f64,
     max_attempts: usize,
     max_retry_after_us: f64,
     peers: bool,
@@ -37,6 +39,7 @@
 struct Extra {
     counter: bool,
     counter_timeout_us: f64,
+    peer_intake: f64,
 }
 
 #[derive(Deserialize)]
@@ -52,12 +55,16 @@
     ceiling_slack: f64,
     depth: f64,
     hard_burst: f64,
+    over_worth: f64,
+    overrun_cost: f64,
     parallel: usize,
     per_second: f64,
 }
 
 pub struct Start {
     pub door: Door,
+    pub doors: usize,
+    pub slot: usize,
     pub operations: usize,
     pub plans: usize,
 }
@@ -94,6 +101,8 @@
         .map(|t| Plan {
             rate: t.per_second,
             burst: t.depth,
+            over_worth: t.over_worth,
+            over_cost: t.overrun_cost,
             open: t.parallel,
             ceiling_rate: t.ceiling_rate,
             ceiling_burst: t.hard_burst,
@@ -109,16 +118,18 @@
         most: told.caps.max_attempts,
         second_copies: told.caps.second_copies,
         cancels: told.caps.cancel,
+        link_idle: told.caps.conn_idle_us / 1e6,
         retry_after: told.caps.retry_after.then_some(told.caps.max_retry_after_us / 1e6),
     };
     let limits = CounterLimits { timeout: told.extra.counter_timeout_us / 1e6 };
     let counter = told.extra.counter.then_some(limits);
+    let hears = if told.caps.peers { told.extra.peer_intake } else { 0.0 };
     let (n, m) = (operations.len(), plans.len());
     let door = Door::new(
-        (seed, told.balancers.max(1) as f64, told.caps.peers, asks),
+        (seed, told.balancers.max(1) as f64, hears, asks),
         (operations, plans),
         (rules, may),
         counter,
     );
-    Ok(Start { door, operations: n, plans: m })
+    Ok(Start { door, doors: told.balancers.max(1), slot: told.slot_no, operations: n, plans: m })
 }
--- a/drill/src/host.rs
+++ b/drill/src/host.rs
@@ -18,6 +18,8 @@
 
 struct Instance {
     door: Door,
+    doors: usize,
+    slot: usize,
     operations: usize,
     plans: usize,
     held: Vec<Option<Held>>,
@@ -121,6 +123,8 @@
     fn new(start: facts::Start) -> Instance {
         Instance {
             door: start.door,
+            doors: start.doors,
+            slot: start.slot,
             operations: start.operations,
             plans: start.plans,
             held: vec![],
@@ -200,8 +204,9 @@
             return Err(r.wrong(format!("{units} units")));
         }
         let customer = self.customer(r.u64(17));
-        let (doors, until) = (r.f32(29) as usize, now + r.seconds(9));
-        let ask = Ask { operation, plan, customer, units, doors, until };
+        let until = now + r.seconds(9);
+        let of = Doors { first: r.f32(5) as usize, number: r.f32(29) as usize };
+        let ask = Ask { operation, plan, customer, units, of, until };
         let inv = self.free.pop().unwrap_or_else(|| {
             self.held.push(None);
             self.held.len() - 1
@@ -288,6 +293,20 @@
                     self.door.peer_word(now, Word::Backend { tgt, operation, well: body[7] != 0 });
                 }
             }
+            // A customer, its plan and front doors, and its count.
+            18 => {
+                let four = |at: usize| -> [u8; 4] { body[at..at + 4].try_into().expect("four bytes") };
+                let two = |at: usize| usize::from(u16::from_le_bytes([body[at], body[at + 1]]));
+                let plan = usize::from(body[5]);
+                if plan < self.plans {
+                    let key = u64::from(u32::from_le_bytes(four(0))) | u64::from(body[4]) << 32;
+                    let customer = self.customer(key);
+                    let name = CountName { customer, series: u32::from_le_bytes(four(10)) };
+                    let of = Doors { first: two(6), number: two(8) };
+                    let total = f64::from(f32::from_le_bytes(four(14)));
+                    self.door.peer_word(now, Word::Count { name, plan, of, total });
+                }
+            }
             n => return Err(r.wrong(format!("a word of {n} bytes"))),
         }
         Ok(())
@@ -340,6 +359,19 @@
                     let body = [&self.addresses[tgt][..], &[operation as u8, u8::from(well)]].concat();
                     reply.with_tail(90, 3, &body).bytes(1, &[0xff, 0xff]);
                 }
+                Word::Count { name, plan, of, total } => {
+                    let mut body = self.customers[name.customer].to_le_bytes()[..5].to_vec();
+                    body.push(plan as u8);
+                    body.extend((of.first as u16).to_le_bytes());
+                    body.extend((of.number as u16).to_le_bytes());
+                    body.extend(name.series.to_le_bytes());
+                    body.extend((total as f32).to_le_bytes());
+                    for peer in (of.first..of.first + of.number).map(|i| i % self.doors) {
+                        if peer != self.slot {
+                            reply.with_tail(90, 3, &body).bytes(1, &(peer as u16).to_le_bytes());
+                        }
+                    }
+                }
             }
         }
         for (inv, delivery) in errands.cancels {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,10 +6,11 @@
 //! Quota: a customer's count on the counter service holds the units taken since its window began. The store
 //! it stands for regains `rate` a second, so the allowance is the burst plus that, and a count that lags
 //! behind what the store regained is lifted to it (a full store spills); so is a forgotten or a new count.
+use crate::state::*;
 use crate::types::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 const WINDOW: f64 = 30.0; // one name of a count; long, for an edge costs a call to carry the level over
 const LAPSE: f64 = 1.0; // an unspent lease goes back
@@ -19,107 +20,29 @@
 const DEADLINE: f64 = 0.04; // of the latency objective: the longest wait for the counter
 const MISSES: u32 = 4; // calls past the deadline, none answered since: the counter is silent
 const RECALL: f64 = 0.25; // a silent counter is read this often
-const PACE: (f64, f64) = (5.0, 400.0); // counter calls a second: least and most
-const PACE_STEP: (f64, f64) = (0.25, 2.5); // more by an answer, less by a missed call
-const PACE_SPAN: f64 = 0.2; // calls saved up
+const PACE: (f64, f64, f64) = (20.0, 400.0, 1200.0); // counter calls a second, all doors: least, first, most
+const PACE_STEP: (f64, f64, f64) = (0.25, 2.5, 0.2); // more by an answer; less by a miss, a part at most
+const PACE_SPAN: f64 = 0.2; // calls saved up, and two at least
+const ROOM_STEP: f64 = 0.05; // by which a lease moves what share of a plan's customers has room
+const OWED: f64 = 0.25; // of the burst: so much may be spent on trust before the count is told
 const IDLE: f64 = 12.0; // a customer not seen for so long is dropped
 const HIGH: f64 = 0.95; // the quantile of answer times that judges a backend
 const STEP: f64 = 0.05; // by which an answer moves that quantile
+const UNLINKED: (f64, f64) = (0.1, 0.05); // share of deliveries that find no connection: much, and its step
 const DOUBT: f64 = 3.0; // times the high answer time: a delivery is doubted whatever its backend does
 const PRESSED: f64 = 0.15; // of the latency objective: the work out at a backend may fill so much of it
-const SLOWED: f64 = 1.5; // times the least median of late: answers slow down all over
-const DRIFT: f64 = 0.0002; // by which that least forgets, an answer
+const SLOW: f64 = 0.33; // of the latency objective: an answer that took longer is slow
+const LIMIT: (f64, f64) = (16.0, 0.5); // units out at all backends: at first, and more or less by an answer
 const RATE_SPAN: f64 = 2.0; // answers are counted over about so long
 const ASIDE: (f64, f64) = (1.0, 8.0); // a backend set aside: first and longest time
 const REPEATS: (f64, f64) = (0.1, 20.0); // re-deliveries: earned by a first delivery, and saved at most
 const WORDS: f64 = 0.5; // peers are told of one thing no more often
+const TELLS: f64 = 0.5; // of what a door hears, it tells
+const SAY: f64 = 0.25; // of the burst: less room is news to the customer's other doors
 const STALL: f64 = 0.1; // our own timers so late: the door stood still
 const LIST_AGAIN: f64 = 2.0; // after a list call that failed, give or take half
 const ANSWER_BY: f64 = 0.005; // before the client gives up
 
-// ======== for one delivery
-struct Delivery {
-    tgt: Tgt,
-    sent: f64,
-    ending: Option<Ending>,
-}
-
-// ======== for one invocation
-#[derive(Default)]
-struct Invocation {
-    ask: Ask,
-    came: f64,
-    counter_until: f64,
-    admitted: bool,
-    look: f64,
-    deliveries: Vec<Delivery>,
-    closed: bool,
-}
-
-impl Invocation {
-    fn out(&self) -> usize {
-        self.deliveries.iter().filter(|d| d.ending.is_none()).count()
-    }
-}
-
-// ======== for one customer, while it is seen
-#[derive(Clone, Copy)]
-enum Errand {
-    Lease { units: f64, spill: f64 },
-    Lift { level: f64 },
-    Return,
-}
-
-struct Call {
-    series: u32,
-    add: f64,
-    paid: f64, // of it, what was owed
-    what: Errand,
-}
-
-#[derive(Default)]
-struct Account {
-    plan: usize,
-    doors: f64,
-    series: u32,
-    seen: Option<f64>,
-    lease: f64,
-    lapses: f64,
-    settle: f64, // true units less guessed, owed to the count
-    slice: f64,
-    sliced: f64, // spent from the slice and not yet told to the count
-    sliced_at: f64,
-    ceiling: f64,
-    out: usize,
-    calls: VecDeque<Call>,
-    waiting: Vec<Inv>,
-    used: f64,
-    bell: f64,
-}
-
-// ======== for one backend
-#[derive(Clone, Copy)]
-struct Aside {
-    since: f64,
-    until: f64,
-    span: f64,
-}
-#[derive(Default)]
-struct Backend {
-    is: Listed,
-    out: usize,
-    owes: f64, // units of what is out
-    high: f64, // its high quantile of answer times, against its fellows'
-    quiet_since: f64,
-    fails: u32,
-    aside: Option<Aside>,
-    sent: VecDeque<(f64, f64)>, // when, and units
-    good: f64,                  // units answered, fading over the span
-    good_at: f64,
-    known: f64, // since when we have it on the list as it is
-    praised: f64,
-}
-
 impl Backend {
     /// Units a second that it has answered us lately.
     fn rate(&self, now: f64) -> f64 {
@@ -133,18 +56,14 @@
     }
 }
 
-#[derive(Clone, Copy)]
-enum Bell {
-    Inv(Inv),
-    Customer(Customer),
-    List,
-}
-
 // ======== for the instance
+#[derive(Default)]
 pub struct Door {
-    rng: ChaCha8Rng,
+    rng: Option<ChaCha8Rng>,
     doors: f64,
-    peers: bool,
+    hears: f64, // words a second
+    say: f64,   // words to one door, saved up
+    said: f64,
     operations: Vec<Operation>,
     plans: Vec<Plan>,
     rules: ColdStart,
@@ -154,10 +73,13 @@
     accounts: BTreeMap<Customer, Account>,
     backends: BTreeMap<Tgt, Backend>,
     high: Vec<f64>, // for a unit, by operation, over all backends
-    half: Vec<f64>, // the median, and the least it has been of late
-    base: Vec<f64>,
+    limit: f64,     // units out at all backends
+    near: f64,      // when we last had half of it out, and all
+    full: f64,
+    unlinked: f64, // share of deliveries that found no connection
     repeats: f64,
     misses: u32,
+    since: f64,
     heard: f64,
     silent: bool,
     recall: f64,
@@ -165,7 +87,8 @@
     back: f64, // when it last came back
     pace: f64, // counter calls a second that we allow ourselves
     paced: f64,
-    calls: f64, // of them, saved up
+    calls: f64,         // of them, saved up
+    has_room: Vec<f64>, // by plan, the share of leases that found room
     again: Vec<Inv>,
     idle: Vec<Customer>,
     bells: BTreeMap<(u64, u64), Bell>,
@@ -175,23 +98,19 @@
 
 impl Door {
     pub fn new(
-        (seed, doors, peers, asks): (u64, f64, bool, bool),
+        (seed, doors, hears, asks): (u64, f64, f64, bool),
         (operations, plans): (Vec<Operation>, Vec<Plan>),
         (rules, may): (ColdStart, Deliveries),
         counter: Option<CounterLimits>,
     ) -> Door {
         let high: Vec<f64> = operations.iter().map(|o| o.latency_objective / 4.0).collect();
-        let (half, base) = (high.clone(), high.clone());
-        let (invs, accounts, backends) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        let (rng, bells, errands) = (ChaCha8Rng::seed_from_u64(seed), BTreeMap::new(), Errands::default());
-        let (repeats, pace, misses, silent, rung, woke) =
-            (REPEATS.1 / 2.0, PACE.1, 0, false, 0, f64::INFINITY);
-        let (heard, recall, back, paced, calls, again, idle) = (0.0, 0.0, 0.0, 0.0, 0.0, vec![], vec![]);
+        let (rng, woke) = (Some(ChaCha8Rng::seed_from_u64(seed)), f64::INFINITY);
+        let (limit, repeats, pace) = (LIMIT.0, REPEATS.1 / 2.0, PACE.1 / doors);
+        let (calls, has_room) = (pace * PACE_SPAN, vec![1.0; plans.len()]);
         #[rustfmt::skip]
         let mut door = Door {
-            rng, doors, peers, operations, plans, rules, may, counter, invs, accounts, backends, high, half, base,
-            repeats, misses, heard, silent, recall, woke, back, pace, paced, calls, again, idle, bells, rung,
-            errands,
+            rng, doors, hears, operations, plans, rules, may, counter, high, limit, repeats, pace, calls,
+            has_room, woke, ..Door::default()
         };
         if asks {
             door.ring(0.0, Bell::List);
@@ -218,17 +137,28 @@
 
     /// The list could not be had, or broke off: it is asked for again, not by all doors at once.
     pub fn unlisted(&mut self, now: f64) {
-        let at = now + LIST_AGAIN * self.rng.gen_range(0.5..1.5);
+        let at = now + LIST_AGAIN * (0.5 + self.chance());
         self.ring(at, Bell::List);
     }
 
-    /// A peer had this backend aside and has had a good answer since: it may be tried again.
+    /// A peer had this backend aside and has had a good answer since: it may be tried again. Or it has seen
+    /// what a customer's count stands at.
     pub fn peer_word(&mut self, now: f64, word: Word) {
-        let Word::Backend { tgt, .. } = word;
-        let Some(b) = self.backends.get_mut(&tgt) else { return };
-        b.praised = now;
-        // The word may be older than our trouble: half of the span comes first.
-        b.aside = b.aside.map(|a| if a.until - now < a.span / 2.0 { Aside { until: now, ..a } } else { a });
+        match word {
+            Word::Backend { tgt, .. } => {
+                let Some(b) = self.backends.get_mut(&tgt) else { return };
+                b.praised = now;
+                // The word may be older than our trouble: half of the span comes first.
+                let soon = b.aside.filter(|a| a.until - now < a.span / 2.0);
+                b.aside = soon.map(|a| Aside { until: now, ..a }).or(b.aside);
+            }
+            Word::Count { name, plan, of, total } => {
+                let a = self.account(now, (name.customer, plan, of));
+                if name.series == a.series {
+                    (a.seen, a.told) = (Some(total), now);
+                }
+            }
+        }
     }
 
     /// A stream has begun: the invocation is bound to its delivery and owes nothing by the clock.
@@ -259,19 +189,13 @@
     pub fn place(&mut self, now: f64, inv: Inv, ask: &Ask) -> Answer {
         self.awake(now);
         if !self.invs.contains_key(&inv) {
-            self.heard = if self.heard == 0.0 { now } else { self.heard };
+            if self.since == 0.0 {
+                (self.since, self.heard) = (now, now);
+            }
             let longest = self.counter.map_or(0.0, |c| c.timeout).min((ask.until - now) / 4.0);
             let deadline = longest.min(DEADLINE * self.operations[ask.operation].latency_objective);
-            if !self.accounts.contains_key(&ask.customer) {
-                let (p, doors) = (&self.plans[ask.plan], ask.doors.max(1) as f64);
-                let (slice, ceiling) = (p.burst / doors, p.ceiling_slack / doors / 2.0);
-                let (plan, used, bell) = (ask.plan, now, f64::INFINITY);
-                let a = Account { plan, doors, slice, ceiling, used, bell, ..Account::default() };
-                self.accounts.insert(ask.customer, a);
-                self.look_after(ask.customer, now + IDLE);
-            }
-            let (ask, came, counter_until) = (*ask, now, now + deadline);
-            self.invs.insert(inv, Invocation { ask, came, counter_until, ..Invocation::default() });
+            let (ask, came, counter_until, luck) = (*ask, now, now + deadline, self.chance());
+            self.invs.insert(inv, Invocation { ask, came, luck, counter_until, ..Invocation::default() });
             self.ring(counter_until, Bell::Inv(inv));
             self.ring(ask.until - ANSWER_BY, Bell::Inv(inv)); // a last look, whatever it is held for
         }
@@ -379,11 +303,11 @@
             return if may_throttle { throttle(&self.may, 1.0) } else { Verdict::Error };
         }
         let tried: Vec<Tgt> = v.deliveries.iter().map(|d| d.tgt).collect();
-        let (came, open) = (v.came, self.plans[v.ask.plan].open);
+        let (came, luck, open) = (v.came, v.luck, self.plans[v.ask.plan].open);
         let a = &self.accounts[&customer];
         // A cap on deliveries out at once is held by an even share, one at least.
         let full = tries == 0 && open > 0 && a.out as f64 >= (open as f64 / a.doors).ceil();
-        let Some(tgt) = (if full { None } else { self.pick(now, operation, &tried, bound) }) else {
+        let Some(tgt) = (if full { None } else { self.pick(now, operation, luck, &tried, bound) }) else {
             if out == 0 && (now - came > if full { objective / 4.0 } else { objective / 10.0 }) {
                 self.give_back(now, inv);
                 return if may_throttle { throttle(&self.may, objective) } else { Verdict::Error };
@@ -398,8 +322,6 @@
         b.quiet_since = if b.out == 0 { now } else { b.quiet_since };
         b.out += 1;
         b.owes += units;
-        b.sent.push_back((now, units));
-        b.sent.retain(|s| s.0 > now - self.rules.fall_after);
         b.aside = b.aside.map(|a| Aside { until: a.until.max(now + a.span), ..a }); // one trial a span
         Verdict::Deliver { tgt }
     }
@@ -430,6 +352,10 @@
         }
     }
 
+    fn chance(&mut self) -> f64 {
+        self.rng.as_mut().expect("seeded").gen_range(0.0..1.0)
+    }
+
     fn ring(&mut self, at: f64, bell: Bell) {
         self.rung += 1;
         self.bells.insert((at.max(0.0).to_bits(), self.rung), bell);
@@ -437,11 +363,27 @@
 
     // ======== quotas
 
+    /// The customer's account, made if need be, and brought into the window of now.
+    fn account(&mut self, now: f64, (customer, plan, of): (Customer, usize, Doors)) -> &mut Account {
+        let (p, doors) = (&self.plans[plan], of.number.max(1) as f64);
+        let (slice, ceiling) = (p.burst / doors, p.ceiling_slack / doors / 2.0);
+        let (used, bell, gone) = (now, f64::INFINITY, p.rate * WINDOW);
+        let new = Account { plan, doors, of, slice, ceiling, used, bell, ..Account::default() };
+        let a = self.accounts.entry(customer).or_insert(new);
+        let series = (now / WINDOW) as u32;
+        let edges = f64::from(series.wrapping_sub(a.series));
+        (a.seen, a.series) = (a.seen.map(|s| s - edges * gone), series);
+        self.look_after(customer, now + IDLE);
+        self.accounts.get_mut(&customer).expect("just made")
+    }
+
     /// The quota's word: spend from the lease, lease anew, refuse when the count is full; none is yes.
     fn quota(&mut self, now: f64, inv: Inv) -> Option<Verdict> {
         let v = &self.invs[&inv];
         let (customer, units, past) = (v.ask.customer, v.ask.units, now >= v.counter_until);
-        let a = self.accounts.get_mut(&customer).expect("has an account");
+        let (plan, of) = (v.ask.plan, v.ask.of);
+        self.account(now, (customer, plan, of));
+        let a = self.accounts.get_mut(&customer).expect("just made");
         let p = &self.plans[a.plan];
         let (even, most) = (p.rate / a.doors, p.burst / a.doors);
         a.slice = (a.slice + even * (now - a.used)).min(most);
@@ -461,26 +403,32 @@
             a.ceiling -= units;
             return None;
         }
-        let series = (now / WINDOW) as u32;
-        if series != a.series {
-            let edges = f64::from(series.wrapping_sub(a.series));
-            a.seen = a.seen.map(|s| s - edges * p.rate * WINDOW);
-            a.series = series;
-        }
+        let series = a.series;
         let regained = p.rate * (now - f64::from(series) * WINDOW);
         let owed = a.settle + a.sliced;
         let room = a.seen.map_or(p.burst, |s| p.burst + regained - (s + owed).max(regained));
         let leasing = a.calls.iter().any(|c| matches!(c.what, Errand::Lease { .. }));
         // A full slice smaller than the request goes into debt: else small quotas get nothing in silence.
         let fits = a.slice >= units.min(most);
-        self.calls = (self.calls + self.pace * (now - self.paced)).min(self.pace * PACE_SPAN);
+        let saved = (self.pace * PACE_SPAN).max(2.0);
+        self.calls = (self.calls + self.pace * (now - self.paced.max(self.since))).min(saved);
         self.paced = now;
         // A crowded counter serves those first whose slice is dry.
-        let least = if fits { (self.pace * PACE_SPAN / 2.0).max(1.0) } else { 1.0 };
+        let least = if fits { (saved / 2.0).max(2.0) } else { 1.0 };
         let crowded = !leasing && self.calls < least;
+        let need = units - if now < a.lapses { a.lease } else { 0.0 };
+        if need > room && !leasing && !self.silent {
+            return Some(throttle(&self.may, (need - room) / p.rate));
+        }
         if self.silent || past || crowded || self.counter.is_none() {
             a.waiting.retain(|w| *w != inv);
             let (idle, short) = (a.calls.is_empty(), (units.min(most) - a.slice) / even);
+            // Whom a crowded counter can't be asked about goes into debt where what the plan's customers with
+            // room earn outweighs what those without cost, and while the backends keep up.
+            let has = self.has_room[a.plan];
+            let worth = has + (1.0 - has) * (p.over_worth - p.over_cost) > 0.0;
+            let trust = !self.silent && worth && now - self.full > 1.0 && a.slice > -OWED * p.burst;
+            let fits = fits || trust;
             if fits {
                 a.slice -= units;
                 a.sliced += units;
@@ -500,10 +448,6 @@
             a.waiting.push(inv); // one call in flight serves all that wait for it
             return Some(Verdict::NotYet);
         }
-        let need = units - if now < a.lapses { a.lease } else { 0.0 };
-        if need > room {
-            return Some(throttle(&self.may, (need - room) / p.rate));
-        }
         let batch = if room > p.burst / 2.0 { p.burst * BATCH } else { 0.0 };
         let spill = a.seen.map_or(0.0, |s| (regained - s - owed).max(0.0));
         let units = need.max(batch);
@@ -543,6 +487,8 @@
                 (lift, back) = ((lag - spill).max(0.0), (spill - lag).max(0.0));
                 let over = total + lift - back - p.burst - regained;
                 let fits = (units - over.max(0.0)).max(0.0);
+                let has = &mut self.has_room[a.plan];
+                *has += ROOM_STEP * (f64::from(u8::from(fits >= units)) - *has);
                 back += units - fits;
                 a.lease = fits + if now < a.lapses { a.lease } else { 0.0 };
                 a.lapses = now + LAPSE;
@@ -550,10 +496,20 @@
             Errand::Lift { level } => back = call.add - (level - before).clamp(0.0, call.add),
             Errand::Return => {}
         }
+        let mut word = None;
         if current {
-            a.seen = Some(total + lift - back);
+            let seen = total + lift - back;
+            a.seen = Some(seen);
+            let little = p.burst + regained - seen < SAY * p.burst;
+            if little && now > a.told + WORDS {
+                a.told = now; // the customer's other doors hear it
+                word = Some((Word::Count { name, plan: a.plan, of: a.of, total: seen }, a.doors));
+            }
         }
         a.settle -= if back > WORTH { 0.0 } else { back };
+        if let Some((word, doors)) = word {
+            self.tell(now, word, doors);
+        }
         if lift > small || lift > WORTH && lost {
             self.call(name.customer, call.series, (lift, 0.0), Errand::Lift { level: level + call.add });
         }
@@ -563,6 +519,16 @@
         self.look_after(name.customer, now + LAPSE);
     }
 
+    /// Says it to so many doors, as far as they can take words in.
+    fn tell(&mut self, now: f64, word: Word, doors: f64) {
+        self.say = (self.say + TELLS * self.hears * (now - self.said)).min(self.doors.max(self.hears));
+        self.said = now;
+        if self.say >= doors {
+            self.say -= doors;
+            self.errands.words.push(word);
+        }
+    }
+
     /// Units of an invocation that was never sent on serve the customer's next.
     fn give_back(&mut self, now: f64, inv: Inv) {
         let (ask, sent) = (&self.invs[&inv].ask, !self.invs[&inv].deliveries.is_empty());
@@ -588,7 +554,7 @@
         let (lapsed, quiet, series) = (now >= a.lapses, a.calls.is_empty(), a.series);
         let next = if lapsed { (a.used + IDLE).max(now + LAPSE) } else { a.lapses };
         let add = a.settle + a.sliced - a.lease;
-        let free = !self.silent && self.calls > self.pace * PACE_SPAN / 2.0;
+        let free = !self.silent && self.calls >= (self.pace * PACE_SPAN / 2.0).max(2.0);
         if lapsed && quiet && add.abs() > WORTH && free && self.counter.is_some() {
             (a.lease, a.settle, a.sliced) = (0.0, 0.0, 0.0);
             self.call(customer, series, (add, add), Errand::Return);
@@ -603,15 +569,16 @@
         if self.silent {
             let gap = now - self.heard;
             self.errands.log.push(format!("counter answers again after {gap:.2} s; leases resume"));
-            (self.back, self.pace) = (now, (self.pace / 4.0).max(PACE.0)); // no herd back to it
+            (self.back, self.pace) = (now, self.pace / 4.0); // no herd back to it
         }
         (self.silent, self.misses, self.heard) = (false, 0, now);
-        self.pace = (self.pace + PACE_STEP.0).min(PACE.1);
+        self.pace = (self.pace + PACE_STEP.0).clamp(PACE.0 / self.doors, PACE.2 / self.doors);
     }
 
     fn missed(&mut self, now: f64) {
         self.misses += 1;
-        self.pace = (self.pace - PACE_STEP.1).max(PACE.0);
+        let less = PACE_STEP.1.min(self.pace * PACE_STEP.2);
+        self.pace = (self.pace - less).max(PACE.0 / self.doors);
         if !self.silent && self.misses >= MISSES && now - self.heard > PACE_SPAN {
             (self.silent, self.recall) = (true, now + RECALL);
             let (n, gap) = (self.misses, now - self.heard);
@@ -622,7 +589,14 @@
     // ======== backends
 
     /// Two drawn at random among those in good standing; the one our own counts favour wins.
-    fn pick(&mut self, now: f64, op: usize, tried: &[Tgt], kin: Option<(Group, Tgt)>) -> Option<Tgt> {
+    fn pick(
+        &mut self,
+        now: f64,
+        op: usize,
+        luck: f64,
+        tried: &[Tgt],
+        kin: Option<(Group, Tgt)>,
+    ) -> Option<Tgt> {
         let key = |b: &Backend, g| if g == Group::Zone { b.is.zone } else { b.is.cell };
         let kin = kin.and_then(|(g, t)| self.backends.get(&t).map(|b| (g, key(b, g))));
         let fits = |b: &&Backend| b.is.standing == Standing::Ready && kin.is_none_or(|(g, k)| key(b, g) == k);
@@ -631,20 +605,20 @@
         // What hangs at troubled backends says nothing of the others.
         let well = || ready().filter(|b| b.aside.is_none() && !b.quiet(now, high));
         let warm = well().filter(|b| self.share(now, b) >= 1.0);
-        let (n, rate) = warm.fold((0.0, 0.0), |(n, r), b| (n + 1.0, r + b.rate(now)));
+        let n = warm.count() as f64;
         let span = PRESSED * self.operations[op].latency_objective;
-        let all_out: f64 = well().filter(|b| now - b.quiet_since <= high).map(|b| b.owes).sum();
-        let clears = (rate * span.max(SLOWED * self.base[op])).max(n / self.doors).max(1.0);
-        if self.half[op] > SLOWED * self.base[op] && all_out > clears {
-            return None; // answers slow down all over: no more out than they would clear
+        let all_out: f64 = ready().filter(|b| b.aside.is_none()).map(|b| b.owes).sum();
+        self.near = if all_out * 2.0 > self.limit { now } else { self.near };
+        if all_out >= self.limit.max(n / self.doors).max(1.0) {
+            self.full = now;
+            return None; // answers slow down all over: no more out than come back in time
         }
+        let ready = || self.backends.values().filter(fits);
         let (mut good, mut poor, mut pressed) = (vec![], vec![], false);
         for b in ready() {
-            // Cold: no more than its share of what a warm one answers us. All doors doing so, it gets a share
-            // of a warm one's load, which is under what it can do.
-            let share = self.share(now, b);
-            let sent: f64 = b.sent.iter().filter(|s| s.0 > now - self.rules.fall_after).map(|s| s.1).sum();
-            if share < 1.0 && sent >= (share * rate / f64::max(n, 1.0) * self.rules.fall_after).max(1.0) {
+            // Cold: an invocation may go there with a chance that is its share of a warm one's capacity. All
+            // doors doing so, it gets that share of a warm one's load, which is under what it can do.
+            if self.share(now, b) < luck {
                 continue;
             }
             let waits = b.aside.is_some_and(|a| now < a.until || effect != Effect::Idempotent);
@@ -656,13 +630,18 @@
                 good.push(b.is.tgt);
             }
         }
+        // Connections are hard to get: those that we have serve.
+        let linked = |t: &&Tgt| self.backends[t].linked.is_some_and(|at| now - at < self.may.link_idle);
+        if self.unlinked > UNLINKED.0 && good.iter().any(|t| linked(&t)) {
+            good = good.iter().filter(linked).copied().collect();
+        }
         if good.is_empty() && !pressed {
             // All are in trouble: those that we have not tried yet, then any.
             good = poor.iter().copied().filter(|t| !tried.contains(t)).collect();
             good = if good.is_empty() { poor } else { good };
         }
-        let i = (!good.is_empty()).then(|| self.rng.gen_range(0..good.len()))?;
-        let j = (i + self.rng.gen_range(0..good.len().max(2) - 1) + 1) % good.len();
+        let i = (!good.is_empty()).then(|| (self.chance() * good.len() as f64) as usize)?;
+        let j = (i + (self.chance() * (good.len().max(2) - 1) as f64) as usize + 1) % good.len();
         // The units we have out there, against its size, its slowness beside its fellows and its warmth.
         let load = |b: &Backend| (b.owes + 1.0) * b.high.clamp(0.5, 5.0) / b.is.size / self.share(now, b);
         let (x, y) = (&self.backends[&good[i]], &self.backends[&good[j]]);
@@ -678,30 +657,38 @@
     /// What an outcome says of its backend.
     fn judge(&mut self, now: f64, ask: &Ask, sent: f64, o: &Outcome) {
         let (op, units) = (ask.operation, ask.units.max(1.0));
-        let (high, half, base) = (&mut self.high[op], &mut self.half[op], &mut self.base[op]);
+        let (high, slow) = (&mut self.high[op], SLOW * self.operations[op].latency_objective);
+        let unlinked = f64::from(u8::from(o.ending == Ending::NotConnected));
+        self.unlinked += UNLINKED.1 * (unlinked - self.unlinked);
         let Some(b) = self.backends.get_mut(&o.tgt) else { return };
+        if !matches!(o.ending, Ending::NotConnected | Ending::NotSent) {
+            b.linked = Some(now);
+        }
         b.out = b.out.saturating_sub(1);
         b.owes = if b.out > 0 { (b.owes - units).max(0.0) } else { 0.0 };
         match o.ending {
             Ending::Succeeded => {
                 toward(high, o.took / units, HIGH);
-                toward(half, o.took, 0.5);
+                let more = if now - self.near < 1.0 { LIMIT.1 } else { 0.0 };
+                self.limit = (self.limit + if o.took > slow { -LIMIT.1 } else { more }).max(1.0);
                 toward(&mut b.high, o.took / units / *high, HIGH);
-                *base = (*base * (1.0 + DRIFT)).min(*half);
                 b.good = b.good * ((b.good_at - now) / RATE_SPAN).exp() + units;
                 (b.good_at, b.quiet_since, b.fails) = (now, now, 0);
                 if b.aside.take().is_some() {
+                    self.errands.log.push(format!("backend {} back: answered in {:.3} s", o.tgt, o.took));
                     // Peers hear it from the first that finds out.
-                    if self.peers && now > b.praised + WORDS {
+                    if now > b.praised + WORDS {
                         b.praised = now;
-                        self.errands.words.push(Word::Backend { tgt: o.tgt, operation: op, well: true });
+                        self.tell(now, Word::Backend { tgt: o.tgt, operation: op, well: true }, self.doors);
                     }
-                    self.errands.log.push(format!("backend {} back: answered in {:.3} s", o.tgt, o.took));
                 }
             }
             Ending::TurnedAway => b.quiet_since = now,
             Ending::NotSent => {}
             _ => {
+                if o.took > slow && b.aside.is_none() {
+                    self.limit = (self.limit - LIMIT.1).max(1.0);
+                }
                 // No answer tells little if others were answered since it was sent.
                 let silent = matches!(o.ending, Ending::TimedOut | Ending::Cancelled);
                 b.fails += u32::from(!silent || b.good_at < sent);
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,96 @@
+//! What a front door remembers, grouped by how long it lives. Plain values: `decide.rs` decides.
+use crate::types::*;
+use std::collections::VecDeque;
+
+// ======== for one delivery
+pub struct Delivery {
+    pub tgt: Tgt,
+    pub sent: f64,
+    pub ending: Option<Ending>,
+}
+
+// ======== for one invocation
+#[derive(Default)]
+pub struct Invocation {
+    pub ask: Ask,
+    pub came: f64,
+    pub luck: f64, // what a cold backend must have of its capacity to get it
+    pub counter_until: f64,
+    pub admitted: bool,
+    pub look: f64,
+    pub deliveries: Vec<Delivery>,
+    pub closed: bool,
+}
+
+impl Invocation {
+    pub fn out(&self) -> usize {
+        self.deliveries.iter().filter(|d| d.ending.is_none()).count()
+    }
+}
+
+// ======== for one customer, while it is seen
+#[derive(Clone, Copy)]
+pub enum Errand {
+    Lease { units: f64, spill: f64 },
+    Lift { level: f64 },
+    Return,
+}
+
+pub struct Call {
+    pub series: u32,
+    pub add: f64,
+    pub paid: f64, // of it, what was owed
+    pub what: Errand,
+}
+
+#[derive(Default)]
+pub struct Account {
+    pub plan: usize,
+    pub doors: f64,
+    pub of: Doors,
+    pub told: f64,
+    pub series: u32,
+    pub seen: Option<f64>,
+    pub lease: f64,
+    pub lapses: f64,
+    pub settle: f64, // true units less guessed, owed to the count
+    pub slice: f64,
+    pub sliced: f64, // spent from the slice and not yet told to the count
+    pub sliced_at: f64,
+    pub ceiling: f64,
+    pub out: usize,
+    pub calls: VecDeque<Call>,
+    pub waiting: Vec<Inv>,
+    pub used: f64,
+    pub bell: f64,
+}
+
+// ======== for one backend
+#[derive(Clone, Copy)]
+pub struct Aside {
+    pub since: f64,
+    pub until: f64,
+    pub span: f64,
+}
+#[derive(Default)]
+pub struct Backend {
+    pub is: Listed,
+    pub out: usize,
+    pub owes: f64, // units of what is out
+    pub high: f64, // its high quantile of answer times, against its fellows'
+    pub quiet_since: f64,
+    pub fails: u32,
+    pub aside: Option<Aside>,
+    pub good: f64, // units answered, fading over the span
+    pub good_at: f64,
+    pub known: f64, // since when we have it on the list as it is
+    pub praised: f64,
+    pub linked: Option<f64>, // last sign of a connection with it
+}
+
+#[derive(Clone, Copy)]
+pub enum Bell {
+    Inv(Inv),
+    Customer(Customer),
+    List,
+}
--- a/src/types.rs
+++ b/src/types.rs
@@ -30,6 +30,9 @@
 pub struct Plan {
     pub rate: f64,
     pub burst: f64,
+    /// Of its billed value: what use beyond the quota earns, and what it costs.
+    pub over_worth: f64,
+    pub over_cost: f64,
     /// Deliveries out at once; 0 is no cap.
     pub open: usize,
     pub ceiling_rate: f64,
@@ -38,18 +41,20 @@
 }
 
 /// The figures of the rule on cold starts. (Drains need none: nothing new goes once a drain is told.)
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct ColdStart {
     pub cold_from: f64,
     pub warm_after: f64,
     pub fall_after: f64,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Deliveries {
     pub most: usize,
     pub second_copies: bool,
     pub cancels: bool,
+    /// A connection that carries nothing closes after this.
+    pub link_idle: f64,
     /// The longest advice that clients heed; none where no advice can be given.
     pub retry_after: Option<f64>,
 }
@@ -59,6 +64,13 @@
     pub timeout: f64,
 }
 
+/// A customer's front doors: the first, and how many follow each other from there, counted round.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Doors {
+    pub first: usize,
+    pub number: usize,
+}
+
 /// What an invocation says of itself.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Ask {
@@ -66,8 +78,7 @@
     pub plan: usize,
     pub customer: Customer,
     pub units: f64,
-    /// The customer's front doors: how many they are.
-    pub doors: usize,
+    pub of: Doors,
     /// When the client gives this try up.
     pub until: f64,
 }
@@ -149,6 +160,8 @@
 pub enum Word {
     /// To all: whether this backend answers this operation.
     Backend { tgt: Tgt, operation: usize, well: bool },
+    /// To the customer's other front doors: what its count stood at just now.
+    Count { name: CountName, plan: usize, of: Doors, total: f64 },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -8,8 +8,11 @@
     pub door: Door,
     asks: Vec<Ask>,
     calls: Vec<CounterCall>,
-    /// The counts as they stand on the counter, by series.
+    /// The counts as they stand on the counter, by series and a hundred times the customer.
     pub counts: BTreeMap<u32, f64>,
+    /// Where each invocation's deliveries went.
+    sent: BTreeMap<Inv, Vec<Tgt>>,
+    seen: usize,
     text: String,
 }
 
@@ -18,18 +21,45 @@
 }
 
 pub fn plan() -> Plan {
-    Plan { rate: 2.0, burst: 8.0, open: 0, ceiling_rate: 0.0, ceiling_burst: 0.0, ceiling_slack: 0.0 }
+    Plan {
+        rate: 2.0,
+        burst: 8.0,
+        over_worth: 0.0,
+        over_cost: 0.6,
+        open: 0,
+        ceiling_rate: 0.0,
+        ceiling_burst: 0.0,
+        ceiling_slack: 0.0,
+    }
 }
 
 pub fn may() -> Deliveries {
-    Deliveries { most: 5, second_copies: true, cancels: true, retry_after: Some(2.0) }
+    Deliveries { most: 5, second_copies: true, cancels: true, link_idle: 15.0, retry_after: Some(2.0) }
 }
 
 pub fn desk(operations: Vec<Operation>, plans: Vec<Plan>, may: Deliveries, backends: usize) -> Desk {
+    desk_among(2.0, operations, plans, may, backends)
+}
+
+pub fn desk_among(
+    doors: f64,
+    operations: Vec<Operation>,
+    plans: Vec<Plan>,
+    may: Deliveries,
+    backends: usize,
+) -> Desk {
     let cold = ColdStart { cold_from: 0.2, warm_after: 10.0, fall_after: 1.0 };
     let counter = Some(CounterLimits { timeout: 0.05 });
-    let door = Door::new((7, 2.0, false, false), (operations, plans), (cold, may), counter);
-    let mut desk = Desk { door, asks: vec![], calls: vec![], counts: BTreeMap::new(), text: String::new() };
+    let door = Door::new((7, doors, 40.0, false), (operations, plans), (cold, may), counter);
+    let mut desk = Desk {
+        door,
+        asks: vec![],
+        calls: vec![],
+        counts: BTreeMap::new(),
+        sent: BTreeMap::new(),
+        seen: 0,
+        text: String::new(),
+    };
     let list: Vec<Listed> = (0..backends).map(listed).collect();
     desk.door.listed(30.0, true, &list);
     desk
@@ -42,12 +72,19 @@
 impl Desk {
     /// An invocation of customer 0 comes, with 4 s before its client gives up.
     pub fn comes(&mut self, now: f64, operation: usize, units: f64) -> Inv {
+        self.asked(now, Ask { operation, units, ..Ask::default() })
+    }
+
+    pub fn comes_of(&mut self, now: f64, customer: Customer, units: f64) -> Inv {
+        self.asked(now, Ask { customer, units, ..Ask::default() })
+    }
+
+    fn asked(&mut self, now: f64, ask: Ask) -> Inv {
         self.wait(now);
-        self.asks.push(Ask { operation, plan: 0, customer: 0, units, doors: 2, until: now + 4.0 });
+        self.asks.push(Ask { of: Doors { first: 0, number: 2 }, until: now + 4.0, ..ask });
         let inv = self.asks.len() - 1;
-
         let answer = self.door.place(now, inv, &self.asks[inv]);
-        self.note(now, &format!("{inv} comes"), answer);
+        self.note(now, inv, " comes", answer);
         inv
     }
 
@@ -55,7 +92,7 @@
     pub fn counter(&mut self, now: f64) {
         while !self.calls.is_empty() {
             let call = self.calls.remove(0);
-            let count = self.counts.entry(call.name.series).or_default();
+            let count = self.counts.entry(call.name.series + 100 * call.name.customer as u32).or_default();
             *count += call.add;
             let total = *count;
             self.door.counted(now, call.name, Counted::Total(total));
@@ -71,12 +108,13 @@
         self.wait(now);
     }
 
-    pub fn ends(&mut self, now: f64, inv: Inv, delivery: usize, tgt: Tgt, ending: Ending, took: f64) {
+    pub fn ends(&mut self, now: f64, inv: Inv, delivery: usize, ending: Ending, took: f64) {
         self.wait(now);
         let closed = ending == Ending::Succeeded;
+        let tgt = self.sent[&inv][delivery];
         let outcome = Outcome { delivery, tgt, ending, took, closed, true_units: None };
         let answer = self.door.after(now, inv, &outcome);
-        self.note(now, &format!("{inv} {ending:?}"), answer);
+        self.note(now, inv, &format!(" {ending:?}"), answer);
     }
 
     /// The timer rings: whom the door wants to be asked about again is asked.
@@ -92,13 +130,16 @@
                 if answer.verdict == Verdict::NotYet {
                     self.errands(now, answer.errands); // it waits on
                 } else {
-                    self.note(now, &inv.to_string(), answer);
+                    self.note(now, inv, "", answer);
                 }
             }
         }
     }
 
-    fn note(&mut self, now: f64, what: &str, answer: Answer) {
+    fn note(&mut self, now: f64, inv: Inv, what: &str, answer: Answer) {
+        if let Verdict::Deliver { tgt } = answer.verdict {
+            self.sent.entry(inv).or_default().push(tgt);
+        }
         let verdict = match answer.verdict {
             Verdict::Deliver { tgt } => format!("to {tgt}"),
             Verdict::NotYet => "not yet".into(),
@@ -106,7 +147,7 @@
             Verdict::Throttle { retry_after: None } => "throttled".into(),
             Verdict::Error => "error".into(),
         };
-        writeln!(self.text, "{now:.3} {what}: {verdict}").expect("writes to a string");
+        writeln!(self.text, "{now:.3} {inv}{what}: {verdict}").expect("writes to a string");
         self.errands(now, answer.errands);
     }
 
@@ -121,13 +162,32 @@
         if errands.ask_for_list {
             writeln!(self.text, "{now:.3} asks for the list").expect("writes");
         }
+        for word in errands.words {
+            writeln!(self.text, "{now:.3} tells {word:?}").expect("writes to a string");
+        }
         for line in errands.log {
             writeln!(self.text, "{now:.3} log: {line}").expect("writes");
         }
     }
 
+    /// A peer tells what a customer's count stands at.
+    pub fn heard(&mut self, now: f64, customer: Customer, series: u32, total: f64) {
+        let (name, of) = (CountName { customer, series }, Doors { first: 0, number: 2 });
+        self.door.peer_word(now, Word::Count { name, plan: 0, of, total });
+    }
+
+    /// The invocations sent on since the last look.
+    pub fn take_sent(&mut self) -> Vec<Inv> {
+        let seen = std::mem::replace(&mut self.seen, self.asks.len());
+        self.sent.keys().copied().filter(|i| *i >= seen).collect()
+    }
+
     /// What was decided since the last look.
     pub fn told(&mut self) -> String {
         std::mem::take(&mut self.text)
     }
+
+    pub fn check(&mut self, trace: expect_test::Expect) {
+        trace.assert_eq(&self.told());
+    }
 }
