--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,7 +32,7 @@
 const DOUBT: f64 = 3.0; // times the high answer time: a delivery is doubted whatever its backend does
 const PRESSED: f64 = 0.15; // of the latency objective: the work out at a backend may fill so much of it
 const SLOW: f64 = 0.33; // of the latency objective: an answer that took longer is slow
-const LIMIT: (f64, f64) = (16.0, 0.5); // units out at all backends: at first, and more or less by an answer
+const LIMIT: (f64, f64) = (8.0, 0.5); // units out: at first, a backend and all doors; more or less by an answer
 const RATE_SPAN: f64 = 2.0; // answers are counted over about so long
 const ASIDE: (f64, f64) = (1.0, 8.0); // a backend set aside: first and longest time
 const REPEATS: (f64, f64) = (0.1, 20.0); // re-deliveries: earned by a first delivery, and saved at most
@@ -105,11 +105,11 @@
     ) -> Door {
         let high: Vec<f64> = operations.iter().map(|o| o.latency_objective / 4.0).collect();
         let (rng, woke) = (Some(ChaCha8Rng::seed_from_u64(seed)), f64::INFINITY);
-        let (limit, repeats, pace) = (LIMIT.0, REPEATS.1 / 2.0, PACE.1 / doors);
+        let (repeats, pace) = (REPEATS.1 / 2.0, PACE.1 / doors);
         let (calls, has_room) = (pace * PACE_SPAN, vec![1.0; plans.len()]);
         #[rustfmt::skip]
         let mut door = Door {
-            rng, doors, hears, operations, plans, rules, may, counter, high, limit, repeats, pace, calls,
+            rng, doors, hears, operations, plans, rules, may, counter, high, repeats, pace, calls,
             has_room, woke, ..Door::default()
         };
         if asks {
@@ -122,6 +122,9 @@
 
     /// The list, or what changed in it; `whole` replaces it, so what it lacks is gone.
     pub fn listed(&mut self, now: f64, whole: bool, entries: &[Listed]) {
+        if self.backends.is_empty() {
+            self.limit = (LIMIT.0 * entries.len() as f64 / self.doors).max(1.0);
+        }
         if whole {
             self.backends.values_mut().for_each(|b| b.is.standing = Standing::Gone);
         }
