Proven backends by connection, operation and plan; lifts only after the look

The count is now lifted only after an answer shows the lag. (3) What a client that left early leaves behind no longer counts against a backend. (4) A call stands for others of the customer that were let in without one.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -23,16 +23,17 @@
 const PACE: (f64, f64, f64) = (20.0, 400.0, 1200.0); // counter calls a second, all doors: least, first, most
 const PACE_STEP: (f64, f64, f64) = (0.25, 2.5, 0.2); // more by an answer; less by a miss, a part at most
 const PACE_SPAN: f64 = 0.2; // calls saved up, and two at least
-const ROOM_STEP: f64 = 0.05; // by which a lease moves what share of a plan's customers has room
 const OWED: f64 = 0.25; // of the burst: so much may be spent on trust before the count is told
+const STANDS: f64 = 0.5; // so far a call stands for invocations let in without one
 const IDLE: f64 = 12.0; // a customer not seen for so long is dropped
 const HIGH: f64 = 0.95; // the quantile of answer times that judges a backend
 const STEP: f64 = 0.05; // by which an answer moves that quantile
-const UNLINKED: (f64, f64) = (0.1, 0.05); // share of deliveries that find no connection: much, and its step
+const HARD: f64 = 0.1; // share of deliveries that find no connection, or no answer: hard to get
+const SHARE_STEP: f64 = 0.05; // by which one case moves such a share
 const DOUBT: f64 = 3.0; // times the high answer time: a delivery is doubted whatever its backend does
 const PRESSED: f64 = 0.15; // of the latency objective: the work out at a backend may fill so much of it
 const SLOW: f64 = 0.33; // of the latency objective: an answer that took longer is slow
-const LIMIT: (f64, f64) = (8.0, 0.5); // units out: at first, a backend and all doors; more or less by an answer
+const LIMIT: (f64, f64) = (8.0, 0.5); // units out: at first, a backend, all doors; more or less by an answer
 const RATE_SPAN: f64 = 2.0; // answers are counted over about so long
 const ASIDE: (f64, f64) = (1.0, 8.0); // a backend set aside: first and longest time
 const REPEATS: (f64, f64) = (0.1, 20.0); // re-deliveries: earned by a first delivery, and saved at most
@@ -76,19 +77,17 @@
     limit: f64,     // units out at all backends
     near: f64,      // when we last had half of it out, and all
     full: f64,
-    unlinked: f64, // share of deliveries that found no connection
+    hard: Vec<f64>, // shares of deliveries that found no connection, no answer by operation, no room by plan
     repeats: f64,
     misses: u32,
-    since: f64,
     heard: f64,
     silent: bool,
     recall: f64,
     woke: f64,
-    back: f64, // when it last came back
     pace: f64, // counter calls a second that we allow ourselves
     paced: f64,
-    calls: f64,         // of them, saved up
-    has_room: Vec<f64>, // by plan, the share of leases that found room
+    asked: f64, // the share of what was let in that the counter was asked about
+    calls: f64, // of them, saved up
     again: Vec<Inv>,
     idle: Vec<Customer>,
     bells: BTreeMap<(u64, u64), Bell>,
@@ -106,11 +105,12 @@
         let high: Vec<f64> = operations.iter().map(|o| o.latency_objective / 4.0).collect();
         let (rng, woke) = (Some(ChaCha8Rng::seed_from_u64(seed)), f64::INFINITY);
         let (repeats, pace) = (REPEATS.1 / 2.0, PACE.1 / doors);
-        let (calls, has_room) = (pace * PACE_SPAN, vec![1.0; plans.len()]);
+        let calls = pace * PACE_SPAN;
+        let hard = vec![0.0; 1 + operations.len() + plans.len()];
         #[rustfmt::skip]
         let mut door = Door {
-            rng, doors, hears, operations, plans, rules, may, counter, high, repeats, pace, calls,
-            has_room, woke, ..Door::default()
+            rng, doors, hears, operations, plans, rules, may, counter, high, repeats, pace, calls, asked: 1.0,
+            hard, woke, ..Door::default()
         };
         if asks {
             door.ring(0.0, Bell::List);
@@ -122,9 +122,8 @@
 
     /// The list, or what changed in it; `whole` replaces it, so what it lacks is gone.
     pub fn listed(&mut self, now: f64, whole: bool, entries: &[Listed]) {
-        if self.backends.is_empty() {
-            self.limit = (LIMIT.0 * entries.len() as f64 / self.doors).max(1.0);
-        }
+        let first = (LIMIT.0 * entries.len() as f64 / self.doors).max(1.0);
+        self.limit = if self.backends.is_empty() { first } else { self.limit };
         if whole {
             self.backends.values_mut().for_each(|b| b.is.standing = Standing::Gone);
         }
@@ -144,11 +143,10 @@
         self.ring(at, Bell::List);
     }
 
-    /// A peer had this backend aside and has had a good answer since: it may be tried again. Or it has seen
-    /// what a customer's count stands at.
+    /// A peer had a backend aside and has an answer since, or has seen what a customer's count stands at.
     pub fn peer_word(&mut self, now: f64, word: Word) {
         match word {
-            Word::Backend { tgt, .. } => {
+            Word::Backend { tgt } => {
                 let Some(b) = self.backends.get_mut(&tgt) else { return };
                 b.praised = now;
                 // The word may be older than our trouble: half of the span comes first.
@@ -192,9 +190,6 @@
     pub fn place(&mut self, now: f64, inv: Inv, ask: &Ask) -> Answer {
         self.awake(now);
         if !self.invs.contains_key(&inv) {
-            if self.since == 0.0 {
-                (self.since, self.heard) = (now, now);
-            }
             let longest = self.counter.map_or(0.0, |c| c.timeout).min((ask.until - now) / 4.0);
             let deadline = longest.min(DEADLINE * self.operations[ask.operation].latency_objective);
             let (ask, came, counter_until, luck) = (*ask, now, now + deadline, self.chance());
@@ -212,7 +207,7 @@
         let Some(v) = self.invs.get_mut(&inv) else { return self.answer(inv, Verdict::NotYet) };
         let (ask, sent) = (v.ask, v.deliveries[o.delivery].sent);
         v.deliveries[o.delivery].ending = Some(o.ending);
-        let (out, closed) = (v.out(), v.closed || o.closed);
+        let (out, left, closed) = (v.out(), v.closed, v.closed || o.closed);
         if let Some(a) = self.accounts.get_mut(&ask.customer) {
             a.out = a.out.saturating_sub(1);
             if let Some(units) = o.true_units {
@@ -220,7 +215,7 @@
                 self.look_after(ask.customer, now + LAPSE);
             }
         }
-        self.judge(now, &ask, sent, o);
+        self.judge(now, &ask, (sent, left), o);
         if closed {
             self.gone(inv);
         }
@@ -249,6 +244,8 @@
     /// The door itself stood still: the silence meanwhile is not its backends'.
     fn awake(&mut self, now: f64) {
         let late = self.bells.keys().next().map_or(0.0, |k| now - f64::from_bits(k.0));
+        let first = self.woke == f64::INFINITY;
+        (self.heard, self.paced) = if first { (now, now) } else { (self.heard, self.paced) };
         if now > self.woke && late > STALL {
             self.backends.values_mut().for_each(|b| (b.quiet_since, b.good_at) = (now, now));
             self.errands.log.push(format!("stood still for {late:.2} s"));
@@ -274,14 +271,12 @@
         let (operation, customer, objective) = (v.ask.operation, v.ask.customer, op.latency_objective);
         let mut may_have_run = v.deliveries.iter().filter(|d| !d.ending.is_some_and(Ending::never_ran));
         let ran = may_have_run.next().map(|d| (d.tgt, d.sent));
-        let may_repeat = match (ran, op.effect) {
-            (None, _) | (_, Effect::Idempotent) => true,
-            (Some((_, sent)), Effect::Tokened { window, .. }) => now < sent + window,
-            (_, Effect::NonIdempotent) => false,
-        };
-        let bound = match (ran, op.effect) {
-            (Some((tgt, _)), Effect::Tokened { group, .. }) if group != Group::All => Some((group, tgt)),
-            _ => None,
+        let (may_repeat, bound) = match (ran, op.effect) {
+            (None, _) | (_, Effect::Idempotent) => (true, None),
+            (Some((tgt, sent)), Effect::Tokened { group, window }) => {
+                (now < sent + window, (group != Group::All).then_some((group, tgt)))
+            }
+            (_, Effect::NonIdempotent) => (false, None),
         };
         let may_throttle = may_repeat && bound.is_none();
         let late = now - v.came > objective;
@@ -306,11 +301,12 @@
             return if may_throttle { throttle(&self.may, 1.0) } else { Verdict::Error };
         }
         let tried: Vec<Tgt> = v.deliveries.iter().map(|d| d.tgt).collect();
-        let (came, luck, open) = (v.came, v.luck, self.plans[v.ask.plan].open);
-        let a = &self.accounts[&customer];
+        let (came, luck, ask, open) = (v.came, v.luck, v.ask, self.plans[v.ask.plan].open);
         // A cap on deliveries out at once is held by an even share, one at least.
-        let full = tries == 0 && open > 0 && a.out as f64 >= (open as f64 / a.doors).ceil();
-        let Some(tgt) = (if full { None } else { self.pick(now, operation, luck, &tried, bound) }) else {
+        let (cap, has) =
+            ((open as f64 / self.accounts[&customer].doors).ceil(), self.accounts[&customer].out as f64);
+        let full = tries == 0 && open > 0 && has >= cap;
+        let Some(tgt) = (if full { None } else { self.pick(now, (&ask, luck), &tried, bound) }) else {
             if out == 0 && (now - came > if full { objective / 4.0 } else { objective / 10.0 }) {
                 self.give_back(now, inv);
                 return if may_throttle { throttle(&self.may, objective) } else { Verdict::Error };
@@ -384,16 +380,13 @@
     fn quota(&mut self, now: f64, inv: Inv) -> Option<Verdict> {
         let v = &self.invs[&inv];
         let (customer, units, past) = (v.ask.customer, v.ask.units, now >= v.counter_until);
-        let (plan, of) = (v.ask.plan, v.ask.of);
-        self.account(now, (customer, plan, of));
+        self.account(now, (customer, v.ask.plan, v.ask.of));
         let a = self.accounts.get_mut(&customer).expect("just made");
         let p = &self.plans[a.plan];
         let (even, most) = (p.rate / a.doors, p.burst / a.doors);
         a.slice = (a.slice + even * (now - a.used)).min(most);
-        // What a slice regained in silence the store did too: only what it still lacks is owed.
-        if a.slice >= most || self.silent || a.sliced_at < self.back {
-            a.sliced = a.sliced.min(most - a.slice);
-        }
+        // What the slice regained the store did too.
+        a.sliced = a.sliced.min(most - a.slice);
         // A hard ceiling is held by an even share of its own, empty at start: a restart fills nothing.
         let ceiling = a.ceiling + p.ceiling_rate / a.doors * (now - a.used);
         a.ceiling = ceiling.min(p.ceiling_burst / a.doors);
@@ -410,11 +403,12 @@
         let regained = p.rate * (now - f64::from(series) * WINDOW);
         let owed = a.settle + a.sliced;
         let room = a.seen.map_or(p.burst, |s| p.burst + regained - (s + owed).max(regained));
+        let rich = room > p.burst / 2.0;
         let leasing = a.calls.iter().any(|c| matches!(c.what, Errand::Lease { .. }));
         // A full slice smaller than the request goes into debt: else small quotas get nothing in silence.
         let fits = a.slice >= units.min(most);
         let saved = (self.pace * PACE_SPAN).max(2.0);
-        self.calls = (self.calls + self.pace * (now - self.paced.max(self.since))).min(saved);
+        self.calls = (self.calls + self.pace * (now - self.paced)).min(saved);
         self.paced = now;
         // A crowded counter serves those first whose slice is dry.
         let least = if fits { (saved / 2.0).max(2.0) } else { 1.0 };
@@ -426,16 +420,13 @@
         if self.silent || past || crowded || self.counter.is_none() {
             a.waiting.retain(|w| *w != inv);
             let (idle, short) = (a.calls.is_empty(), (units.min(most) - a.slice) / even);
-            // Whom a crowded counter can't be asked about goes into debt where what the plan's customers with
-            // room earn outweighs what those without cost, and while the backends keep up.
-            let has = self.has_room[a.plan];
-            let worth = has + (1.0 - has) * (p.over_worth - p.over_cost) > 0.0;
-            let trust = !self.silent && worth && now - self.full > 1.0 && a.slice > -OWED * p.burst;
-            let fits = fits || trust;
+            // Whom a crowded counter can't be asked about goes into debt, while the backends keep up.
+            let trust = !self.silent && rich && now - self.full > 1.0;
+            let fits = fits || trust && a.slice > -OWED * p.burst;
             if fits {
+                drift(&mut self.asked, self.silent);
                 a.slice -= units;
                 a.sliced += units;
-                a.sliced_at = now;
                 a.ceiling -= units;
                 self.look_after(customer, now + LAPSE);
             }
@@ -451,12 +442,14 @@
             a.waiting.push(inv); // one call in flight serves all that wait for it
             return Some(Verdict::NotYet);
         }
-        let batch = if room > p.burst / 2.0 { p.burst * BATCH } else { 0.0 };
-        let spill = a.seen.map_or(0.0, |s| (regained - s - owed).max(0.0));
-        let units = need.max(batch);
+        let units = need.max(if rich { p.burst * BATCH } else { 0.0 });
+        // A call stands for others of this customer, let in on trust at doors that will not call for it soon.
+        let others = if owed < WORTH { STANDS * need * (1.0 / self.asked.max(0.1) - 1.0) } else { 0.0 };
+        let owed = owed + others;
+        drift(&mut self.asked, true);
         (a.settle, a.sliced) = (0.0, 0.0);
         a.waiting.push(inv);
-        self.call(customer, series, (units + owed + spill, owed), Errand::Lease { units, spill });
+        self.call(customer, series, (units + owed, owed), Errand::Lease { units });
         Some(Verdict::NotYet)
     }
 
@@ -486,12 +479,10 @@
         let lag = (level - before - call.paid).max(0.0);
         let (mut back, mut lift) = (0.0, 0.0);
         match call.what {
-            Errand::Lease { units, spill } => {
-                (lift, back) = ((lag - spill).max(0.0), (spill - lag).max(0.0));
-                let over = total + lift - back - p.burst - regained;
+            Errand::Lease { units } => {
+                lift = lag;
+                let over = total + lift - p.burst - regained;
                 let fits = (units - over.max(0.0)).max(0.0);
-                let has = &mut self.has_room[a.plan];
-                *has += ROOM_STEP * (f64::from(u8::from(fits >= units)) - *has);
                 back += units - fits;
                 a.lease = fits + if now < a.lapses { a.lease } else { 0.0 };
                 a.lapses = now + LAPSE;
@@ -499,18 +490,13 @@
             Errand::Lift { level } => back = call.add - (level - before).clamp(0.0, call.add),
             Errand::Return => {}
         }
-        let mut word = None;
-        if current {
-            let seen = total + lift - back;
-            a.seen = Some(seen);
-            let little = p.burst + regained - seen < SAY * p.burst;
-            if little && now > a.told + WORDS {
-                a.told = now; // the customer's other doors hear it
-                word = Some((Word::Count { name, plan: a.plan, of: a.of, total: seen }, a.doors));
-            }
-        }
         a.settle -= if back > WORTH { 0.0 } else { back };
-        if let Some((word, doors)) = word {
+        let seen = total + lift - back;
+        a.seen = if current { Some(seen) } else { a.seen };
+        let little = p.burst + regained - seen < SAY * p.burst;
+        if current && little && now > a.told + WORDS {
+            a.told = now; // the customer's other doors hear it
+            let (word, doors) = (Word::Count { name, plan: a.plan, of: a.of, total: seen }, a.doors);
             self.tell(now, word, doors);
         }
         if lift > small || lift > WORTH && lost {
@@ -572,7 +558,7 @@
         if self.silent {
             let gap = now - self.heard;
             self.errands.log.push(format!("counter answers again after {gap:.2} s; leases resume"));
-            (self.back, self.pace) = (now, self.pace / 4.0); // no herd back to it
+            self.pace /= 4.0; // no herd back to it
         }
         (self.silent, self.misses, self.heard) = (false, 0, now);
         self.pace = (self.pace + PACE_STEP.0).clamp(PACE.0 / self.doors, PACE.2 / self.doors);
@@ -592,27 +578,17 @@
     // ======== backends
 
     /// Two drawn at random among those in good standing; the one our own counts favour wins.
-    fn pick(
-        &mut self,
-        now: f64,
-        op: usize,
-        luck: f64,
-        tried: &[Tgt],
-        kin: Option<(Group, Tgt)>,
-    ) -> Option<Tgt> {
+    fn pick(&mut self, now: f64, (ask, luck): (&Ask, f64), tried: &[Tgt], kin: Kin) -> Option<Tgt> {
+        let op = ask.operation;
         let key = |b: &Backend, g| if g == Group::Zone { b.is.zone } else { b.is.cell };
         let kin = kin.and_then(|(g, t)| self.backends.get(&t).map(|b| (g, key(b, g))));
         let fits = |b: &&Backend| b.is.standing == Standing::Ready && kin.is_none_or(|(g, k)| key(b, g) == k);
         let ready = || self.backends.values().filter(fits);
-        let (high, effect) = (self.high[op], self.operations[op].effect);
-        // What hangs at troubled backends says nothing of the others.
-        let well = || ready().filter(|b| b.aside.is_none() && !b.quiet(now, high));
-        let warm = well().filter(|b| self.share(now, b) >= 1.0);
-        let n = warm.count() as f64;
-        let span = PRESSED * self.operations[op].latency_objective;
+        let Operation { latency_objective, effect } = self.operations[op];
+        let (high, span) = (self.high[op], PRESSED * latency_objective);
         let all_out: f64 = ready().filter(|b| b.aside.is_none()).map(|b| b.owes).sum();
         self.near = if all_out * 2.0 > self.limit { now } else { self.near };
-        if all_out >= self.limit.max(n / self.doors).max(1.0) {
+        if all_out >= self.limit.max(ready().count() as f64 / self.doors).max(1.0) {
             self.full = now;
             return None; // answers slow down all over: no more out than come back in time
         }
@@ -633,10 +609,14 @@
                 good.push(b.is.tgt);
             }
         }
-        // Connections are hard to get: those that we have serve.
-        let linked = |t: &&Tgt| self.backends[t].linked.is_some_and(|at| now - at < self.may.link_idle);
-        if self.unlinked > UNLINKED.0 && good.iter().any(|t| linked(&t)) {
-            good = good.iter().filter(linked).copied().collect();
+        // Where connections, or the operation's or the plan's good answers, are hard to get, those serve that
+        // have given them lately.
+        for kind in self.kinds(ask) {
+            let lately = |at: &Option<f64>| at.is_some_and(|at| now - at < self.may.link_idle);
+            let proven = |t: &&Tgt| self.backends[t].proven.get(kind).is_some_and(lately);
+            if self.hard[kind] > HARD && good.iter().any(|t| proven(&t)) {
+                good = good.iter().filter(proven).copied().collect();
+            }
         }
         if good.is_empty() && !pressed {
             // All are in trouble: those that we have not tried yet, then any.
@@ -651,6 +631,11 @@
         Some(if load(y) < load(x) { y.is.tgt } else { x.is.tgt })
     }
 
+    /// What a delivery can prove of a backend: that it connects, serves the operation, serves the plan.
+    fn kinds(&self, ask: &Ask) -> [usize; 3] {
+        [0, 1 + ask.operation, 1 + self.operations.len() + ask.plan]
+    }
+
     /// The part of its capacity that a backend has at least, by the time since its start.
     fn share(&self, now: f64, b: &Backend) -> f64 {
         let age = b.is.started.map_or(f64::INFINITY, |s| now - s);
@@ -658,17 +643,30 @@
     }
 
     /// What an outcome says of its backend.
-    fn judge(&mut self, now: f64, ask: &Ask, sent: f64, o: &Outcome) {
+    fn judge(&mut self, now: f64, ask: &Ask, (sent, left): (f64, bool), o: &Outcome) {
         let (op, units) = (ask.operation, ask.units.max(1.0));
+        let kinds = self.kinds(ask);
         let (high, slow) = (&mut self.high[op], SLOW * self.operations[op].latency_objective);
-        let unlinked = f64::from(u8::from(o.ending == Ending::NotConnected));
-        self.unlinked += UNLINKED.1 * (unlinked - self.unlinked);
         let Some(b) = self.backends.get_mut(&o.tgt) else { return };
-        if !matches!(o.ending, Ending::NotConnected | Ending::NotSent) {
-            b.linked = Some(now);
-        }
         b.out = b.out.saturating_sub(1);
         b.owes = if b.out > 0 { (b.owes - units).max(0.0) } else { 0.0 };
+        if o.ending == Ending::NotSent || left && o.ending == Ending::Cancelled && o.took < *high * units {
+            return; // a client that left early says nothing of the backend
+        }
+        // What it says of the connection, of the operation there, of the plan there.
+        let says = match o.ending {
+            Ending::Succeeded => [Some(true); 3],
+            Ending::NotConnected => [Some(false), None, None],
+            Ending::TurnedAway => [Some(true), None, Some(false)],
+            _ => [Some(true), Some(false), None],
+        };
+        b.proven.resize(self.hard.len(), None);
+        for (kind, well) in kinds.into_iter().zip(says) {
+            if let Some(well) = well {
+                b.proven[kind] = well.then_some(now);
+                drift(&mut self.hard[kind], !well);
+            }
+        }
         match o.ending {
             Ending::Succeeded => {
                 toward(high, o.took / units, HIGH);
@@ -682,12 +680,11 @@
                     // Peers hear it from the first that finds out.
                     if now > b.praised + WORDS {
                         b.praised = now;
-                        self.tell(now, Word::Backend { tgt: o.tgt, operation: op, well: true }, self.doors);
+                        self.tell(now, Word::Backend { tgt: o.tgt }, self.doors);
                     }
                 }
             }
             Ending::TurnedAway => b.quiet_since = now,
-            Ending::NotSent => {}
             _ => {
                 if o.took > slow && b.aside.is_none() {
                     self.limit = (self.limit - LIMIT.1).max(1.0);
@@ -713,6 +710,11 @@
     *estimate *= if value > *estimate { 1.0 + STEP * quantile } else { 1.0 - STEP * (1.0 - quantile) };
 }
 
+/// Moves a share by one case.
+fn drift(share: &mut f64, is: bool) {
+    *share += SHARE_STEP * (f64::from(u8::from(is)) - *share);
+}
+
 fn throttle(may: &Deliveries, seconds: f64) -> Verdict {
     Verdict::Throttle { retry_after: may.retry_after.map(|most| seconds.max(0.05).min(most)) }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -31,7 +31,7 @@
 // ======== for one customer, while it is seen
 #[derive(Clone, Copy)]
 pub enum Errand {
-    Lease { units: f64, spill: f64 },
+    Lease { units: f64 },
     Lift { level: f64 },
     Return,
 }
@@ -56,7 +56,6 @@
     pub settle: f64, // true units less guessed, owed to the count
     pub slice: f64,
     pub sliced: f64, // spent from the slice and not yet told to the count
-    pub sliced_at: f64,
     pub ceiling: f64,
     pub out: usize,
     pub calls: VecDeque<Call>,
@@ -85,7 +84,7 @@
     pub good_at: f64,
     pub known: f64, // since when we have it on the list as it is
     pub praised: f64,
-    pub linked: Option<f64>, // last sign of a connection with it
+    pub proven: Vec<Option<f64>>, // by kind, when it last did well
 }
 
 #[derive(Clone, Copy)]
--- a/src/types.rs
+++ b/src/types.rs
@@ -20,7 +20,7 @@
     NonIdempotent,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Operation {
     pub latency_objective: f64,
     pub effect: Effect,
@@ -30,9 +30,6 @@
 pub struct Plan {
     pub rate: f64,
     pub burst: f64,
-    /// Of its billed value: what use beyond the quota earns, and what it costs.
-    pub over_worth: f64,
-    pub over_cost: f64,
     /// Deliveries out at once; 0 is no cap.
     pub open: usize,
     pub ceiling_rate: f64,
@@ -102,6 +99,9 @@
     pub started: Option<f64>,
 }
 
+/// The group that a repeat must stay in, and the backend that it was first sent to.
+pub type Kin = Option<(Group, Tgt)>;
+
 /// How a delivery ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Ending {
@@ -158,8 +158,8 @@
 /// What front doors tell each other.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Word {
-    /// To all: whether this backend answers this operation.
-    Backend { tgt: Tgt, operation: usize, well: bool },
+    /// To all: this backend answers again.
+    Backend { tgt: Tgt },
     /// To the customer's other front doors: what its count stood at just now.
     Count { name: CountName, plan: usize, of: Doors, total: f64 },
 }
