Proven by three good deliveries on end; what hangs leaves the account of all out

Now three good ones on end prove, where some have them; quiet backends leave the account while the median answer is under twice its least, for then they hang and are not slow.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -29,6 +29,7 @@
 const HIGH: f64 = 0.95; // the quantile of answer times that judges a backend
 const STEP: f64 = 0.05; // by which an answer moves that quantile
 const HARD: f64 = 0.1; // share of deliveries that find no connection, or no answer: hard to get
+const STREAK: u32 = 3; // good deliveries on end: proven
 const SHARE_STEP: f64 = 0.05; // by which one case moves such a share
 const DOUBT: f64 = 3.0; // times the high answer time: a delivery is doubted whatever its backend does
 const PRESSED: f64 = 0.15; // of the latency objective: the work out at a backend may fill so much of it
@@ -108,12 +109,11 @@
         let (half, base) = (high.clone(), high.clone());
         let (rng, woke) = (Some(ChaCha8Rng::seed_from_u64(seed)), f64::INFINITY);
         let (repeats, pace) = (REPEATS.1 / 2.0, PACE.1 / doors);
-        let calls = pace * PACE_SPAN;
         let hard = vec![0.0; 1 + operations.len() + plans.len()];
         #[rustfmt::skip]
         let mut door = Door {
-            rng, doors, hears, operations, plans, rules, may, counter, high, repeats, pace, calls, asked: 1.0,
-            hard, woke, half, base, ..Door::default()
+            rng, doors, hears, operations, plans, rules, may, counter, high, repeats, pace, asked: 1.0,
+            calls: pace * PACE_SPAN, hard, woke, half, base, ..Door::default()
         };
         if asks {
             door.ring(0.0, Bell::List);
@@ -412,12 +412,11 @@
         self.paced = now;
         // A crowded counter serves those first whose slice is dry.
         let least = if fits { (saved / 2.0).max(2.0) } else { 1.0 };
-        let crowded = !leasing && self.calls < least;
         let need = units - if now < a.lapses { a.lease } else { 0.0 };
         if need > room && !leasing && !self.silent {
             return Some(throttle(&self.may, (need - room) / p.rate));
         }
-        if self.silent || past || crowded || self.counter.is_none() {
+        if self.silent || past || !leasing && self.calls < least || self.counter.is_none() {
             a.waiting.retain(|w| *w != inv);
             let (idle, short) = (a.calls.is_empty(), (units.min(most) - a.slice) / even);
             // Whom a crowded counter can't be asked about goes into debt, while the backends keep up.
@@ -444,8 +443,7 @@
         }
         let units = need.max(if rich { p.burst * BATCH } else { 0.0 });
         // A call stands for others of this customer, let in on trust at doors that will not call for it soon.
-        let others = if owed < WORTH { STANDS * need * (1.0 / self.asked.max(0.1) - 1.0) } else { 0.0 };
-        let owed = owed + others;
+        let owed = owed + if owed < WORTH { STANDS * need * (1.0 / self.asked.max(0.1) - 1.0) } else { 0.0 };
         drift(&mut self.asked, true);
         (a.settle, a.sliced) = (0.0, 0.0);
         a.waiting.push(inv);
@@ -585,14 +583,16 @@
         let ready = || self.backends.values().filter(fits);
         let Operation { latency_objective, effect } = self.operations[ask.operation];
         let (high, span) = (self.high[ask.operation], PRESSED * latency_objective);
-        let all_out: f64 = ready().filter(|b| b.aside.is_none()).map(|b| b.owes).sum();
+        // Where answers come as fast as ever, what says nothing hangs; else it may be slow.
+        let slow = self.half[ask.operation] > SLOWED * self.base[ask.operation];
+        let counts = |b: &&Backend| b.aside.is_none() && (slow || !b.quiet(now, high));
+        let all_out: f64 = ready().filter(counts).map(|b| b.owes).sum();
         let each = ready().count() as f64 / self.doors;
         self.limit = self.limit.min(LIMIT.1 * each.max(1.0));
         if all_out >= self.limit.max(each).max(1.0) {
             self.full = now;
             return None; // answers slow down all over: no more out than come back in time
         }
-        let ready = || self.backends.values().filter(fits);
         let (mut good, mut poor, mut pressed) = (vec![], vec![], false);
         for b in ready() {
             // Cold: an invocation may go there with a chance that is its share of a warm one's capacity. All
@@ -609,19 +609,19 @@
                 good.push(b.is.tgt);
             }
         }
-        // Where connections, or the operation's or the plan's good answers, are hard to get, those serve that
-        // have given them lately.
+        // Where connections, or good answers to the operation or the plan, are hard to get: who gives them.
         for kind in self.kinds(ask) {
-            let lately = |at: &Option<f64>| at.is_some_and(|at| now - at < self.may.link_idle);
-            let proven = |t: &&Tgt| self.backends[t].proven.get(kind).is_some_and(lately);
-            if self.hard[kind] > HARD && good.iter().any(|t| proven(&t)) {
-                good = good.iter().filter(proven).copied().collect();
+            let lately = |p: &&(f64, u32)| now - p.0 < self.may.link_idle;
+            let streak = |t: &Tgt| self.backends[t].proven.get(kind).filter(lately).map_or(0, |p| p.1);
+            let best = good.iter().map(streak).max().unwrap_or(0).min(STREAK);
+            if self.hard[kind] > HARD {
+                good = good.iter().filter(|t| streak(t) >= best).copied().collect();
             }
         }
         if good.is_empty() && !pressed {
             // All are in trouble: those that we have not tried yet, then any.
-            good = poor.iter().copied().filter(|t| !tried.contains(t)).collect();
-            good = if good.is_empty() { poor } else { good };
+            let new: Vec<Tgt> = poor.iter().copied().filter(|t| !tried.contains(t)).collect();
+            good = if new.is_empty() { poor } else { new };
         }
         let i = (!good.is_empty()).then(|| (self.chance() * good.len() as f64) as usize)?;
         let j = (i + (self.chance() * (good.len().max(2) - 1) as f64) as usize + 1) % good.len();
@@ -661,10 +661,10 @@
             Ending::TurnedAway => [Some(true), None, Some(false)],
             _ => [Some(true), Some(false), None],
         };
-        b.proven.resize(self.hard.len(), None);
+        b.proven.resize(self.hard.len(), (now, 0));
         for (kind, well) in kinds.into_iter().zip(says) {
             if let Some(well) = well {
-                b.proven[kind] = well.then_some(now);
+                b.proven[kind] = if well { (now, b.proven[kind].1 + 1) } else { (now, 0) };
                 drift(&mut self.hard[kind], !well);
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -84,7 +84,7 @@
     pub good_at: f64,
     pub known: f64, // since when we have it on the list as it is
     pub praised: f64,
-    pub proven: Vec<Option<f64>>, // by kind, when it last did well
+    pub proven: Vec<(f64, u32)>, // by kind, when last seen, and how often on end it did well
 }
 
 #[derive(Clone, Copy)]
