Words on counts only when a tenth of the burst is left; lapsed leases always go back

Cause: a lease that lapsed while no call was free was forgotten and stayed on the count. It now waits in what is settled with the next call.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -41,7 +41,7 @@
 const REPEATS: (f64, f64) = (0.1, 20.0); // re-deliveries: earned by a first delivery, and saved at most
 const WORDS: f64 = 0.5; // peers are told of one thing no more often
 const TELLS: f64 = 0.5; // of what a door hears, it tells
-const SAY: f64 = 0.25; // of the burst: less room is news to the customer's other doors
+const SAY: f64 = 0.1; // of the burst: less room is news to the customer's other doors
 const STALL: f64 = 0.1; // our own timers so late: the door stood still
 const LIST_AGAIN: f64 = 2.0; // after a list call that failed, give or take half
 const ANSWER_BY: f64 = 0.005; // before the client gives up
@@ -464,15 +464,14 @@
         self.heard(now);
         let a = self.accounts.get_mut(&name.customer).expect("has calls");
         let p = &self.plans[a.plan];
-        let small = p.burst * SPILL;
         self.again.append(&mut a.waiting);
         let current = a.series == call.series;
         let regained = p.rate * (now - f64::from(call.series) * WINDOW).max(0.0);
         let before = total - call.add;
         // What the count must have stood at: at least what the store regained; and, where it is new or was
-        // forgotten, what we last saw. Peers return lapsed leases, so a small drop is no loss.
+        // forgotten, what we last saw.
         let known = a.seen.filter(|_| current).unwrap_or(0.0);
-        let lost = before < 0.01 || before < known - small * a.doors;
+        let (lost, small) = (before < WORTH, p.burst * SPILL);
         let level = if lost { regained.max(known) } else { regained };
         let lag = (level - before - call.paid).max(0.0);
         let (mut back, mut lift) = (0.0, 0.0);
@@ -540,10 +539,11 @@
         a.bell = f64::INFINITY;
         let (lapsed, quiet, series) = (now >= a.lapses, a.calls.is_empty(), a.series);
         let next = if lapsed { (a.used + IDLE).max(now + LAPSE) } else { a.lapses };
-        let add = a.settle + a.sliced - a.lease;
+        a.settle -= if lapsed { std::mem::take(&mut a.lease) } else { 0.0 };
+        let add = a.settle + a.sliced;
         let free = !self.silent && self.calls >= (self.pace * PACE_SPAN / 2.0).max(2.0);
         if lapsed && quiet && add.abs() > WORTH && free && self.counter.is_some() {
-            (a.lease, a.settle, a.sliced) = (0.0, 0.0, 0.0);
+            (a.settle, a.sliced) = (0.0, 0.0);
             self.call(customer, series, (add, add), Errand::Return);
         } else if now >= a.used + IDLE && quiet && !self.invs.values().any(|v| v.ask.customer == customer) {
             self.accounts.remove(&customer);
