The last look always answers; the limit grows only while half of it is out

At the last look, 5 ms before its client gives up, the time left came out a hair over the bound by rounding, and it was held for another 40 ms.

Dropped: the limit's cap.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -35,7 +35,7 @@
 const PRESSED: f64 = 0.15; // of the latency objective: the work out at a backend may fill so much of it
 const SLOWED: f64 = 2.0; // times the least median of late: a slow answer
 const DRIFT: f64 = 0.0002; // by which that least forgets, an answer
-const LIMIT: (f64, f64, f64) = (8.0, 32.0, 0.25); // units out, a backend, all doors: first, most; a step
+const LIMIT: (f64, f64) = (10.0, 0.25); // units out: at first, a backend, all doors; by an answer
 const RATE_SPAN: f64 = 2.0; // answers are counted over about so long
 const ASIDE: (f64, f64) = (1.0, 8.0); // a backend set aside: first and longest time
 const REPEATS: (f64, f64) = (0.1, 20.0); // re-deliveries: earned by a first delivery, and saved at most
@@ -44,7 +44,7 @@
 const SAY: f64 = 0.1; // of the burst: less room is news to the customer's other doors
 const STALL: f64 = 0.1; // our own timers so late: the door stood still
 const LIST_AGAIN: f64 = 2.0; // after a list call that failed, give or take half
-const ANSWER_BY: f64 = 0.005; // before the client gives up
+const ANSWER_BY: f64 = 0.005; // before the client gives up: a last look; what it finds held is answered
 
 impl Backend {
     /// Units a second that it has answered us lately.
@@ -79,6 +79,7 @@
     half: Vec<f64>, // the median, and the least it has been of late
     base: Vec<f64>,
     limit: f64,     // units out at all backends
+    near: bool,     // half of it was out when we last looked
     full: f64,      // when we last had all of it out
     hard: Vec<f64>, // shares of deliveries that found no connection, no answer by operation, no room by plan
     repeats: f64,
@@ -125,8 +126,10 @@
 
     /// The list, or what changed in it; `whole` replaces it, so what it lacks is gone.
     pub fn listed(&mut self, now: f64, whole: bool, entries: &[Listed]) {
-        let first = (LIMIT.0 * entries.len() as f64 / self.doors).max(1.0);
-        self.limit = if self.backends.is_empty() { first } else { self.limit };
+        if self.backends.is_empty() {
+            let first = (LIMIT.0 * entries.len() as f64 / self.doors).max(1.0);
+            (self.limit, self.heard, self.paced) = (first, now, now);
+        }
         if whole {
             self.backends.values_mut().for_each(|b| b.is.standing = Standing::Gone);
         }
@@ -247,8 +250,6 @@
     /// The door itself stood still: the silence meanwhile is not its backends'.
     fn awake(&mut self, now: f64) {
         let late = self.bells.keys().next().map_or(0.0, |k| now - f64::from_bits(k.0));
-        let first = self.woke == f64::INFINITY;
-        (self.heard, self.paced) = if first { (now, now) } else { (self.heard, self.paced) };
         if now > self.woke && late > STALL {
             self.backends.values_mut().for_each(|b| (b.quiet_since, b.good_at) = (now, now));
             self.errands.log.push(format!("stood still for {late:.2} s"));
@@ -299,7 +300,7 @@
                 self.invs.get_mut(&inv).expect("held").look = f64::INFINITY;
                 return Verdict::NotYet;
             }
-        } else if left <= ANSWER_BY || !may_repeat || spent {
+        } else if left < 2.0 * ANSWER_BY || !may_repeat || spent {
             return if may_throttle { throttle(&self.may, 1.0) } else { Verdict::Error };
         }
         let tried: Vec<Tgt> = v.deliveries.iter().map(|d| d.tgt).collect();
@@ -470,9 +471,8 @@
         let before = total - call.add;
         // What the count must have stood at: at least what the store regained; and, where it is new or was
         // forgotten, what we last saw.
-        let known = a.seen.filter(|_| current).unwrap_or(0.0);
         let (lost, small) = (before < WORTH, p.burst * SPILL);
-        let level = if lost { regained.max(known) } else { regained };
+        let level = regained.max(a.seen.filter(|_| current && lost).unwrap_or(0.0));
         let lag = (level - before - call.paid).max(0.0);
         let (mut back, mut lift) = (0.0, 0.0);
         match call.what {
@@ -587,9 +587,8 @@
         let slow = self.half[ask.operation] > SLOWED * self.base[ask.operation];
         let counts = |b: &&Backend| b.aside.is_none() && (slow || !b.quiet(now, high));
         let all_out: f64 = ready().filter(counts).map(|b| b.owes).sum();
-        let each = ready().count() as f64 / self.doors;
-        self.limit = self.limit.min(LIMIT.1 * each.max(1.0));
-        if all_out >= self.limit.max(each).max(1.0) {
+        self.near = all_out * 2.0 > self.limit;
+        if all_out >= self.limit.max(ready().count() as f64 / self.doors).max(1.0) {
             self.full = now;
             return None; // answers slow down all over: no more out than come back in time
         }
@@ -669,7 +668,8 @@
             }
         }
         if o.ending == Ending::Succeeded || slow && b.aside.is_none() && !o.ending.never_ran() {
-            self.limit = (self.limit + if slow { -LIMIT.2 } else { LIMIT.2 }).max(1.0);
+            let more = if self.near { LIMIT.1 } else { 0.0 };
+            self.limit = (self.limit + if slow { -LIMIT.1 } else { more }).max(1.0);
         }
         match o.ending {
             Ending::Succeeded => {
