--- a/drill/src/host.rs
+++ b/drill/src/host.rs
@@ -1,8 +1,10 @@
 //! Hosts instances: events into calls, answers into actions. It holds ids, timers and invocations; it decides nothing.
-use crate::facts;
 use crate::frame::{Batch, Malformed, Record, Reply};
 use quillramp::decide::Door;
+use quillramp::facts;
+use quillramp::ids::Ids;
 use quillramp::types::*;
+use quillramp::word::{self, Said};
 use std::collections::{BTreeMap, HashMap};
 
 const KEY_BITS: u32 = 33;
@@ -25,11 +27,8 @@
     held: Vec<Option<Held>>,
     free: Vec<usize>,
     by_id: HashMap<u32, usize>,
-    addresses: Vec<[u8; 6]>,
-    by_address: HashMap<[u8; 6], usize>,
-    customers: Vec<u64>,
-    customers_free: Vec<usize>,
-    by_customer: HashMap<u64, usize>,
+    backends: Ids<[u8; 6]>,
+    customers: Ids<u64>,
     timer: Option<u64>,
     timers: u64,
 }
@@ -125,16 +124,13 @@
             door: start.door,
             doors: start.doors,
             slot: start.slot,
-            operations: start.operations,
-            plans: start.plans,
+            operations: start.operations.len(),
+            plans: start.plans.len(),
             held: vec![],
             free: vec![],
             by_id: HashMap::new(),
-            addresses: vec![],
-            by_address: HashMap::new(),
-            customers: vec![],
-            customers_free: vec![],
-            by_customer: HashMap::new(),
+            backends: Ids::default(),
+            customers: Ids::default(),
             timer: None,
             timers: 0,
         }
@@ -159,11 +155,7 @@
                 2 => Standing::Draining,
                 n => return Err(r.wrong(format!("entry {i}: unknown state {n}"))),
             };
-            let addresses = &mut self.addresses;
-            let tgt = *self.by_address.entry(address).or_insert_with(|| {
-                addresses.push(address);
-                addresses.len() - 1
-            });
+            let tgt = self.backends.index(&address);
             let started = u64::from_le_bytes(e[10..18].try_into().expect("eight bytes"));
             entries.push(Listed {
                 tgt,
@@ -178,19 +170,6 @@
         Ok(())
     }
 
-    fn customer(&mut self, key: u64) -> usize {
-        if let Some(&c) = self.by_customer.get(&key) {
-            return c;
-        }
-        let c = self.customers_free.pop().unwrap_or_else(|| {
-            self.customers.push(0);
-            self.customers.len() - 1
-        });
-        self.customers[c] = key;
-        self.by_customer.insert(key, c);
-        c
-    }
-
     fn submitted(&mut self, now: f64, r: &Record, reply: &mut Reply) -> Result<(), Malformed> {
         let (operation, plan) = (usize::from(r.u8(28)), usize::from(r.u16(25)));
         if operation >= self.operations {
@@ -203,7 +182,7 @@
         if !(units.is_finite() && units >= 0.0) {
             return Err(r.wrong(format!("{units} units")));
         }
-        let customer = self.customer(r.u64(17));
+        let customer = self.customers.index(&r.u64(17));
         let until = now + r.seconds(9);
         let of = Doors { first: r.f32(5) as usize, number: r.f32(29) as usize };
         let ask = Ask { operation, plan, customer, units, of, until };
@@ -233,7 +212,7 @@
             return Err(r.wrong(format!("invocation {id} is not held")));
         };
         let address = r.address(7);
-        let Some(&tgt) = self.by_address.get(&address) else {
+        let Some(tgt) = self.backends.find(&address) else {
             return Err(r.wrong(format!("backend {address:?} was never listed")));
         };
         let ending = ending(r, 13)?;
@@ -276,7 +255,7 @@
             4 => Counted::Unanswered,
             n => return Err(r.wrong(format!("unknown outcome {n}"))),
         };
-        if let Some(&customer) = self.by_customer.get(&(name & ((1 << KEY_BITS) - 1))) {
+        if let Some(customer) = self.customers.find(&(name & ((1 << KEY_BITS) - 1))) {
             let series = (name >> KEY_BITS) as u32;
             self.door.counted(now, CountName { customer, series }, result);
         }
@@ -284,29 +263,18 @@
     }
 
     fn peer_said(&mut self, now: f64, r: &Record) -> Result<(), Malformed> {
-        let body = r.tail(5, 1)?;
-        match body.len() {
-            // A backend.
-            6 => {
-                if let Some(&tgt) = self.by_address.get(body) {
+        match word::decode(r.tail(5, 1)?) {
+            Some(Said::Backend(address)) => {
+                if let Some(tgt) = self.backends.find(&address[..]) {
                     self.door.peer_word(now, Word::Backend { tgt });
                 }
             }
-            // A customer, its plan and front doors, and its count.
-            18 => {
-                let four = |at: usize| -> [u8; 4] { body[at..at + 4].try_into().expect("four bytes") };
-                let two = |at: usize| usize::from(u16::from_le_bytes([body[at], body[at + 1]]));
-                let plan = usize::from(body[5]);
-                if plan < self.plans {
-                    let key = u64::from(u32::from_le_bytes(four(0))) | u64::from(body[4]) << 32;
-                    let customer = self.customer(key);
-                    let name = CountName { customer, series: u32::from_le_bytes(four(10)) };
-                    let of = Doors { first: two(6), number: two(8) };
-                    let total = f64::from(f32::from_le_bytes(four(14)));
-                    self.door.peer_word(now, Word::Count { name, plan, of, total });
-                }
+            Some(Said::Count { customer, plan, of, series, total }) if plan < self.plans => {
+                let name = CountName { customer: self.customers.index(&customer), series };
+                self.door.peer_word(now, Word::Count { name, plan, of, total });
             }
-            n => return Err(r.wrong(format!("a word of {n} bytes"))),
+            Some(_) => {}
+            None => return Err(r.wrong("no word of ours")),
         }
         Ok(())
     }
@@ -330,7 +298,8 @@
             Verdict::Deliver { tgt } => {
                 held.out += 1;
                 held.sent += 1;
-                reply.put(140).bytes(1, &id).bytes(5, &self.addresses[tgt]);
+                let address = self.backends.name(tgt).expect("the decisions name listed backends");
+                reply.put(140).bytes(1, &id).bytes(5, address);
             }
             Verdict::NotYet => {}
             Verdict::Throttle { retry_after } => {
@@ -346,24 +315,26 @@
         self.release(inv);
     }
 
+    fn key(&self, customer: Customer) -> u64 {
+        *self.customers.name(customer).expect("the decisions name customers in hand")
+    }
+
     fn run_errands(&mut self, errands: Errands, reply: &mut Reply) {
         for c in errands.counter {
-            let name = self.customers[c.name.customer] | u64::from(c.name.series) << KEY_BITS;
+            let name = self.key(c.name.customer) | u64::from(c.name.series) << KEY_BITS;
             let add = (c.add as f32).to_le_bytes();
             reply.put(70).bytes(1, &name.to_le_bytes()).bytes(9, &add).micros(13, c.lives);
         }
         for word in errands.words {
             match word {
                 Word::Backend { tgt } => {
-                    reply.with_tail(90, 3, &self.addresses[tgt]).bytes(1, &[0xff, 0xff]);
+                    let address = self.backends.name(tgt).expect("the decisions name listed backends");
+                    let body = word::encode(&Said::Backend(address.to_vec()));
+                    reply.with_tail(90, 3, &body).bytes(1, &[0xff, 0xff]);
                 }
                 Word::Count { name, plan, of, total } => {
-                    let mut body = self.customers[name.customer].to_le_bytes()[..5].to_vec();
-                    body.push(plan as u8);
-                    body.extend((of.first as u16).to_le_bytes());
-                    body.extend((of.number as u16).to_le_bytes());
-                    body.extend(name.series.to_le_bytes());
-                    body.extend((total as f32).to_le_bytes());
+                    let (customer, series) = (self.key(name.customer), name.series);
+                    let body = word::encode(&Said::Count { customer, plan, of, series, total });
                     for peer in (of.first..of.first + of.number).map(|i| i % self.doors) {
                         if peer != self.slot {
                             reply.with_tail(90, 3, &body).bytes(1, &(peer as u16).to_le_bytes());
@@ -390,8 +361,7 @@
             let wait = self.door.wait(now);
             self.run_errands(wait.errands, reply);
             for customer in wait.idle {
-                self.by_customer.remove(&self.customers[customer]);
-                self.customers_free.push(customer);
+                self.customers.release(customer);
             }
             if wait.again.is_empty() {
                 return self.set_timer(now, wait.seconds, reply);
--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -1,5 +1,4 @@
 //! The adapter: the wire on standard input and output, the decisions of `quillramp` behind it.
-mod facts;
 mod frame;
 mod host;
 
--- /dev/null
+++ b/gateway/src/life/configuration.rs
@@ -0,0 +1,49 @@
+//! What a front door is told at its start, from the JSON file that the environment names.
+use crate::wire::listing::Listing;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::net::SocketAddr;
+
+pub const PATH: &str = "EDGE_CONFIG";
+
+#[derive(Deserialize)]
+pub struct Told {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    #[serde(with = "hex")]
+    pub seed: u64,
+    pub limits: Limits,
+    pub peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    pub peers_all: Option<SocketAddr>,
+    pub counter: Option<SocketAddr>,
+    pub known: Listing,
+    /// What the decisions are given on the bench too.
+    pub settings: Box<RawValue>,
+}
+
+#[derive(Deserialize)]
+pub struct Limits {
+    pub sockets: usize,
+}
+
+mod hex {
+    use serde::Deserialize;
+    pub fn deserialize<'de, D: serde::Deserializer<'de>>(d: D) -> Result<u64, D::Error> {
+        let text = String::deserialize(d)?;
+        u64::from_str_radix(&text, 16).map_err(|e| serde::de::Error::custom(format!("seed '{text}': {e}")))
+    }
+}
+
+/// Reads it, or says plainly what is wrong.
+pub fn read() -> Result<Told, String> {
+    let path = std::env::var(PATH).map_err(|_| format!("{PATH} names no configuration file"))?;
+    let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+    decode(&text).map_err(|e| format!("{path}: {e}"))
+}
+
+pub fn decode(text: &[u8]) -> Result<Told, String> {
+    serde_json::from_slice(text).map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/gateway/src/main.rs
@@ -0,0 +1,60 @@
+//! quillramp: the front door on sockets round the decisions of `quillramp::decide`.
+mod life;
+mod memory;
+mod sockets;
+mod wire;
+
+use life::{configuration, logger, stop};
+use memory::reducer::{Parties, Reducer};
+use sockets::{accept, clock::Clock, drive::Driver, drive::Links, inbox::Inbox, link::Common, peers::Peers};
+use std::process::ExitCode;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+
+/// Stacks, in words: of a connection's coroutine, and of the one that decides.
+const STACK: usize = 0x2000;
+const DRIVER_STACK: usize = 0x20000;
+
+fn run() -> Result<std::convert::Infallible, String> {
+    logger::start()?;
+    std::panic::set_hook(Box::new(|panic| {
+        // The runtime would end one coroutine and leave a front door that does nothing.
+        eprintln!("quillramp: {panic}");
+        std::process::abort();
+    }));
+    let told = configuration::read()?;
+    let start = quillramp::facts::start(told.seed, told.settings.get().as_bytes())?;
+    let signals = stop::signals()?;
+    may::config().set_workers(1).set_stack_size(STACK).set_worker_pin(false);
+
+    let inbox = Arc::new(Inbox::new()?);
+    let common = Common::new(inbox.clone());
+    let links = Arc::new(Links::default());
+    let stop_accepting = Arc::new(AtomicBool::new(false));
+    let listener = accept::listen(told.listen).map_err(|e| format!("{}: {e}", told.listen))?;
+    let peers = told.peer_listen.map(|at| Peers::start(at, inbox.clone())).transpose()?;
+
+    let clock = Clock::start();
+    let parties = Parties {
+        peers: told.peers,
+        peers_all: told.peers_all,
+        counter: told.counter,
+        list: told.discovery,
+        sockets: told.limits.sockets,
+    };
+    let reducer = Reducer::new(clock.now(), start, parties, &told.known);
+    let (counter, list) = (told.counter, told.discovery);
+    let (common_too, links_too, stop_too) = (common.clone(), links.clone(), stop_accepting.clone());
+    let driver = Driver { clock, common, links, peers, stop_accepting, counter, list };
+    let builder = may::coroutine::Builder::new().stack_size(DRIVER_STACK);
+    may::go!(builder, move || driver.run(reducer)).map_err(|e| e.to_string())?;
+    accept::start(listener, links_too, common_too, stop_too)?;
+    log::info!("{} serves at {}", told.name, told.listen);
+    stop::wait(signals, inbox)
+}
+
+fn main() -> ExitCode {
+    let Err(why) = run();
+    eprintln!("quillramp: {why}");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/gateway/src/memory/event.rs
@@ -0,0 +1,92 @@
+//! What happens to a front door, and what it asks to be done.
+use crate::wire::http::{Request, Response};
+use crate::wire::resp::{Answer, Call, Command, Reply};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A connection, by what it is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Conn {
+    Client(u64),
+    Backend(u64),
+    Counter(u64),
+    List(u64),
+}
+
+/// Why a connection ended, as its log line says it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Why {
+    /// The other side closed it.
+    Closed,
+    Reset,
+    Refused,
+    BadFraming,
+    /// It never came up in time.
+    DialTimeout,
+    Idle,
+    /// A delivery on it was given up.
+    GaveUp,
+    /// Its backend drains or is gone.
+    Delisted,
+    /// It said nothing for too long.
+    Silent,
+    /// Descriptors ran short.
+    Crowded,
+    Stopping,
+}
+
+impl Why {
+    pub fn code(self) -> &'static str {
+        match self {
+            Why::Closed => "closed",
+            Why::Reset => "reset",
+            Why::Refused => "refused",
+            Why::BadFraming => "bad-framing",
+            Why::DialTimeout => "dial-timeout",
+            Why::Idle => "idle",
+            Why::GaveUp => "gave-up",
+            Why::Delisted => "delisted",
+            Why::Silent => "silent",
+            Why::Crowded => "crowded",
+            Why::Stopping => "stopping",
+        }
+    }
+}
+
+#[derive(Debug)]
+pub enum Event {
+    Accepted(u64),
+    Command(u64, Command),
+    Reply(u64, Reply),
+    Response(Conn, Response),
+    /// A connection that was asked for is up.
+    Up(Conn),
+    /// A connection ended that nobody here closed; `unsent`: not all that was written to it has left.
+    Ended {
+        conn: Conn,
+        why: Why,
+        unsent: bool,
+    },
+    Datagram {
+        from: SocketAddr,
+        body: Vec<u8>,
+    },
+    /// Accepting found no descriptor left.
+    Crowded,
+    Stop,
+}
+
+#[derive(Debug)]
+pub enum Effect {
+    Answer(u64, Answer),
+    /// The call, with the milliseconds that we shall wait.
+    Deliver(u64, Arc<Call>, u64),
+    Request(Conn, Request),
+    Connect(Conn, SocketAddr),
+    /// What was written before it leaves first.
+    Close(Conn),
+    Datagram(SocketAddr, Vec<u8>),
+    Log(String),
+    StopAccepting,
+    Exit,
+}
--- /dev/null
+++ b/gateway/src/memory/kept.rs
@@ -0,0 +1,83 @@
+//! What a front door keeps, by how long it lives.
+use crate::wire::resp::{Answer, Call};
+use quillramp::types::*;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// One delivery; its link while it is out.
+pub struct Sent {
+    pub tgt: Tgt,
+    pub at: f64,
+    pub link: Option<u64>,
+}
+
+/// One invocation, from its command to the end of its last delivery.
+pub struct Held {
+    pub ask: Ask,
+    pub call: Arc<Call>,
+    pub client: u64,
+    /// Which of the client's commands it is.
+    pub command: u64,
+    pub serial: u64,
+    pub deliveries: Vec<Sent>,
+    pub closed: bool,
+    /// A time is set at which what is still out is given up.
+    pub ends: bool,
+}
+
+impl Held {
+    pub fn out(&self) -> bool {
+        self.deliveries.iter().any(|d| d.link.is_some())
+    }
+}
+
+/// A client's connection: its unanswered commands in order, and those answered out of order.
+#[derive(Default)]
+pub struct Client {
+    pub first: u64,
+    pub owed: VecDeque<(Option<Inv>, Option<Answer>)>,
+    pub used: f64,
+    /// Its framing broke: it closes once all is answered.
+    pub broken: bool,
+}
+
+/// A connection to a backend: the deliveries on it in order, none where an answer is no longer wanted.
+pub struct Link {
+    pub tgt: Tgt,
+    pub up: bool,
+    pub carries: VecDeque<Option<(Inv, usize)>>,
+    pub since: f64,
+}
+
+/// A backend as the list has it, and its idle connections, the newest last.
+#[derive(Default)]
+pub struct Place {
+    pub address: Option<SocketAddr>,
+    pub standing: Standing,
+    pub idle: Vec<u64>,
+}
+
+/// A connection to the counter, and its calls in order, none where their time is over.
+#[derive(Default)]
+pub struct CounterLink {
+    pub up: bool,
+    pub calls: VecDeque<(u64, Option<CountName>)>,
+    /// Calls for when it is up.
+    pub waits: Vec<(CounterCall, u64)>,
+    /// A call on it went unanswered past its time, and nothing came since.
+    pub silent: bool,
+    pub used: f64,
+}
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug)]
+pub enum Due {
+    Dial(u64),
+    GiveUp(Inv, u64),
+    Counter(u64, u64),
+    Watch(u64),
+    Sweep,
+    Leave,
+    Exit,
+}
--- /dev/null
+++ b/gateway/src/sockets/accept.rs
@@ -0,0 +1,67 @@
+//! Takes clients' connections in. Out of descriptors, it waits until one is free again.
+use super::drive::Links;
+use super::link::{Common, Link};
+use crate::memory::event::{Conn, Event};
+use may::io::{CoIo, WaitIo};
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+const BACKLOG: i32 = 1024;
+
+/// A listening socket, still in blocking mode.
+pub fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = socket2::Socket::new(socket2::Domain::for_address(at), socket2::Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+pub fn start(
+    listener: TcpListener,
+    links: Arc<Links>,
+    common: Arc<Common>,
+    stop: Arc<AtomicBool>,
+) -> Result<(), String> {
+    let listener = CoIo::new(listener).map_err(|e| format!("listen: {e:?}"))?;
+    *common.acceptor.borrow_mut() = Some(listener.waker());
+    may::go!(move || serve(&listener, &links, &common, &stop));
+    Ok(())
+}
+
+fn serve(listener: &CoIo<TcpListener>, links: &Links, common: &Arc<Common>, stop: &AtomicBool) {
+    let mut next = 0;
+    loop {
+        // One look more after the word to stop: what the machine has taken in is ours.
+        let last = stop.load(Ordering::Relaxed);
+        loop {
+            match listener.inner().accept() {
+                Ok((stream, _)) => {
+                    next += 1;
+                    let conn = Conn::Client(next);
+                    match Link::start(conn, stream, true, common) {
+                        Ok(link) => {
+                            links.insert(conn, link);
+                            common.inbox.push(Event::Accepted(next));
+                        }
+                        Err(e) => log::warn!("connection client {next} ended: {e}"),
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e) => {
+                    log::warn!("accept: {e}");
+                    common.short.store(true, Ordering::Relaxed);
+                    common.inbox.push(Event::Crowded);
+                    break;
+                }
+            }
+        }
+        if last {
+            return;
+        }
+        listener.wait_io();
+    }
+}
--- /dev/null
+++ b/gateway/src/sockets/drive.rs
@@ -0,0 +1,123 @@
+//! Drives the reducer: takes a batch of events to it, carries out what it asks for, and writes once a batch.
+use super::clock::Clock;
+use super::link::{Common, Link};
+use super::peers::Peers;
+use crate::memory::event::{Conn, Effect, Event, Why};
+use crate::memory::reducer::Reducer;
+use atomic_refcell::AtomicRefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+/// The connections that are open.
+#[derive(Default)]
+pub struct Links(AtomicRefCell<HashMap<Conn, Arc<Link>>>);
+
+impl Links {
+    pub fn insert(&self, conn: Conn, link: Arc<Link>) {
+        self.0.borrow_mut().insert(conn, link);
+    }
+    fn remove(&self, conn: Conn) -> Option<Arc<Link>> {
+        self.0.borrow_mut().remove(&conn)
+    }
+}
+
+pub struct Driver {
+    pub clock: Clock,
+    pub common: Arc<Common>,
+    pub links: Arc<Links>,
+    pub peers: Option<Arc<Peers>>,
+    pub stop_accepting: Arc<AtomicBool>,
+    pub counter: Option<SocketAddr>,
+    pub list: SocketAddr,
+}
+
+impl Driver {
+    pub fn run(self, mut reducer: Reducer) {
+        let mut events = Vec::new();
+        let mut written = Vec::new();
+        let mut armed = f64::INFINITY;
+        self.step(&mut reducer, &mut events, &mut written, &mut armed);
+        loop {
+            if self.common.inbox.wait(&mut events) {
+                armed = f64::INFINITY;
+            }
+            self.step(&mut reducer, &mut events, &mut written, &mut armed);
+        }
+    }
+
+    fn step(&self, reducer: &mut Reducer, events: &mut Vec<Event>, written: &mut Vec<Conn>, armed: &mut f64) {
+        let now = self.clock.now();
+        // New work last: it must not go to a connection whose end is in the same batch.
+        events.sort_by_key(|e| matches!(e, Event::Command(..)));
+        for event in events.drain(..) {
+            if let Event::Ended { conn, .. } = event {
+                self.links.remove(conn);
+            }
+            reducer.reduce(now, event);
+        }
+        let (next, effects) = reducer.settle(now);
+        for effect in effects {
+            self.carry_out(effect, written);
+        }
+        written.sort_unstable();
+        written.dedup();
+        for conn in written.drain(..) {
+            if let Some(link) = self.links.0.borrow().get(&conn) {
+                link.flush();
+            }
+        }
+        if let Some(next) = next.filter(|n| n < armed) {
+            *armed = next;
+            self.common.inbox.ring_in(next - self.clock.now());
+        }
+    }
+
+    fn carry_out(&self, effect: Effect, written: &mut Vec<Conn>) {
+        let mut write = |conn: Conn, encode: &dyn Fn(&mut Vec<u8>)| {
+            if let Some(link) = self.links.0.borrow().get(&conn) {
+                encode(&mut link.out.borrow_mut());
+                written.push(conn);
+            }
+        };
+        match effect {
+            Effect::Answer(id, answer) => write(Conn::Client(id), &|out| answer.encode(out)),
+            Effect::Deliver(id, call, wait) => write(Conn::Backend(id), &|out| call.encode(wait, out)),
+            Effect::Request(conn, request) => {
+                let host = if matches!(conn, Conn::Counter(_)) { self.counter } else { Some(self.list) };
+                let host = host.map_or(String::new(), |h| h.to_string());
+                write(conn, &|out| request.encode(&host, out));
+            }
+            Effect::Connect(conn, to) => match Link::connect(conn, to, &self.common) {
+                Ok(link) => self.links.insert(conn, link),
+                Err(e) => {
+                    log::warn!("connect to {to}: {e}");
+                    self.common.inbox.push(Event::Ended { conn, why: Why::Refused, unsent: true });
+                }
+            },
+            Effect::Close(conn) => {
+                if let Some(link) = self.links.remove(conn) {
+                    link.close();
+                }
+            }
+            Effect::Datagram(to, body) => {
+                if let Some(peers) = &self.peers {
+                    peers.send(to, &body);
+                }
+            }
+            Effect::Log(line) => log::info!("{line}"),
+            Effect::StopAccepting => {
+                self.stop_accepting.store(true, Ordering::Relaxed);
+                if let Some(acceptor) = &*self.common.acceptor.borrow() {
+                    acceptor.wakeup();
+                }
+            }
+            Effect::Exit => {
+                log::info!("stopped");
+                log::logger().flush();
+                std::process::exit(0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/sockets/link.rs
@@ -0,0 +1,209 @@
+//! One TCP connection of any kind: a coroutine reads and decodes; what is written leaves with the batch.
+use super::inbox::Inbox;
+use crate::memory::event::{Conn, Event, Why};
+use crate::wire::{http, resp, Broken};
+use atomic_refcell::AtomicRefCell;
+use may::io::{CoIo, WaitIo, WaitIoWaker};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+const READABLE: usize = 0x1 | 0x8 | 0x10 | 0x2000; // in, error, hang-up, the other side's end
+const WRITABLE: usize = 0x4;
+const ENDED: usize = 0x8 | 0x10 | 0x2000;
+/// Buffers larger than this are not kept.
+const KEPT: usize = 16 * 1024;
+const SCRATCH: usize = 64 * 1024;
+
+/// What all connections share.
+pub struct Common {
+    pub inbox: Arc<Inbox>,
+    scratch: AtomicRefCell<Vec<u8>>,
+    /// Accepting waits for a descriptor.
+    pub short: AtomicBool,
+    pub acceptor: AtomicRefCell<Option<WaitIoWaker>>,
+}
+
+impl Common {
+    pub fn new(inbox: Arc<Inbox>) -> Arc<Common> {
+        let scratch = AtomicRefCell::new(vec![0; SCRATCH]);
+        Arc::new(Common { inbox, scratch, short: AtomicBool::new(false), acceptor: AtomicRefCell::default() })
+    }
+}
+
+pub struct Link {
+    conn: Conn,
+    stream: CoIo<TcpStream>,
+    waker: WaitIoWaker,
+    pub out: AtomicRefCell<Vec<u8>>,
+    closed: AtomicBool,
+    common: Arc<Common>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        if self.common.short.swap(false, Ordering::Relaxed) {
+            if let Some(acceptor) = &*self.common.acceptor.borrow() {
+                acceptor.wakeup();
+            }
+        }
+    }
+}
+
+impl Link {
+    /// Takes up a connection, made or in the making, and starts its coroutine.
+    pub fn start(
+        conn: Conn,
+        stream: TcpStream,
+        up: bool,
+        common: &Arc<Common>,
+    ) -> Result<Arc<Link>, std::io::Error> {
+        stream.set_nodelay(true)?;
+        let stream = CoIo::new(stream).map_err(|e| std::io::Error::other(format!("{e:?}")))?;
+        let (waker, common) = (stream.waker(), common.clone());
+        let (out, closed) = (AtomicRefCell::default(), AtomicBool::new(false));
+        let link = Arc::new(Link { conn, stream, waker, out, closed, common });
+        let own = link.clone();
+        may::go!(move || own.serve(up));
+        Ok(link)
+    }
+
+    /// Starts connecting; whether it comes up is told later.
+    pub fn connect(conn: Conn, to: SocketAddr, common: &Arc<Common>) -> Result<Arc<Link>, std::io::Error> {
+        let socket = socket2::Socket::new(socket2::Domain::for_address(to), socket2::Type::STREAM, None)?;
+        socket.set_nonblocking(true)?;
+        match socket.connect(&to.into()) {
+            Err(e) if e.kind() != ErrorKind::WouldBlock && e.raw_os_error() != Some(IN_PROGRESS) => Err(e),
+            _ => Link::start(conn, socket.into(), false, common),
+        }
+    }
+
+    /// Writes what is waiting, as far as it goes; the rest when the socket takes more.
+    pub fn flush(&self) {
+        let mut out = self.out.borrow_mut();
+        let mut done = 0;
+        while done < out.len() {
+            match self.stream.inner().write(&out[done..]) {
+                Ok(n) if n > 0 => done += n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                _ => break, // no room yet; or the reader finds out that it broke
+            }
+        }
+        out.drain(..done);
+        if out.is_empty() && out.capacity() > KEPT {
+            *out = Vec::new();
+        }
+    }
+
+    /// Ends it from our side; what was written before leaves first.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Relaxed);
+        self.flush();
+        self.waker.wakeup();
+    }
+
+    fn serve(&self, mut up: bool) {
+        let mut got = Vec::new();
+        let mut deaf = false;
+        loop {
+            let flags = self.stream.wait_io();
+            if !up && !self.closed.load(Ordering::Relaxed) {
+                if flags & (WRITABLE | ENDED) == 0 {
+                    continue;
+                }
+                if !matches!(self.stream.inner().take_error(), Ok(None)) || flags & WRITABLE == 0 {
+                    return self.ended(Why::Refused);
+                }
+                up = true;
+                self.common.inbox.push(Event::Up(self.conn));
+            }
+            if flags & WRITABLE != 0 && !self.out.borrow().is_empty() {
+                self.flush();
+            }
+            if self.closed.load(Ordering::Relaxed) {
+                if self.out.borrow().is_empty() || !matches!(self.conn, Conn::Client(_)) || flags & ENDED != 0
+                {
+                    let _ = self.stream.inner().shutdown(Shutdown::Both);
+                    return;
+                }
+                deaf = true;
+            }
+            if flags & READABLE != 0 {
+                if let Err(why) = self.read(flags & ENDED != 0, &mut got, &mut deaf) {
+                    return self.ended(why);
+                }
+            }
+        }
+    }
+
+    fn ended(&self, why: Why) {
+        if !self.closed.load(Ordering::Relaxed) {
+            let unsent = !self.out.borrow().is_empty();
+            self.common.inbox.push(Event::Ended { conn: self.conn, why, unsent });
+        }
+    }
+
+    /// Reads all there is. A short read is the last one, unless the other side has ended.
+    fn read(&self, to_the_end: bool, got: &mut Vec<u8>, deaf: &mut bool) -> Result<(), Why> {
+        let mut scratch = self.common.scratch.borrow_mut();
+        loop {
+            match self.stream.inner().read(&mut scratch) {
+                Ok(0) => return Err(Why::Closed),
+                Ok(_) if *deaf => {}
+                Ok(n) => {
+                    if got.is_empty() {
+                        let done = self.decode(&scratch[..n], deaf)?;
+                        got.extend_from_slice(&scratch[done..n]);
+                    } else {
+                        got.extend_from_slice(&scratch[..n]);
+                        let done = self.decode(got, deaf)?;
+                        got.drain(..done);
+                    }
+                    if got.is_empty() && got.capacity() > KEPT {
+                        *got = Vec::new();
+                    }
+                    if n < scratch.len() && !to_the_end {
+                        return Ok(());
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Err(Why::Reset),
+            }
+        }
+    }
+
+    /// Tells of each whole message; how many bytes they took.
+    fn decode(&self, bytes: &[u8], deaf: &mut bool) -> Result<usize, Why> {
+        let mut done = 0;
+        loop {
+            let rest = &bytes[done..];
+            if rest.is_empty() {
+                return Ok(done);
+            }
+            let event = match self.conn {
+                Conn::Client(id) => match resp::command(rest) {
+                    Ok(m) => m.map(|(m, n)| (Event::Command(id, m), n)),
+                    Err(Broken(why)) => {
+                        *deaf = true;
+                        Some((Event::Command(id, resp::Command::Broken(why)), rest.len()))
+                    }
+                },
+                Conn::Backend(id) => {
+                    let m = resp::reply(rest).map_err(|_| Why::BadFraming)?;
+                    m.map(|(m, n)| (Event::Reply(id, m), n))
+                }
+                conn => {
+                    let m = http::response(rest).map_err(|_| Why::BadFraming)?;
+                    m.map(|(m, n)| (Event::Response(conn, m), n))
+                }
+            };
+            let Some((event, n)) = event else { return Ok(done) };
+            self.common.inbox.push(event);
+            done += n;
+        }
+    }
+}
+
+const IN_PROGRESS: i32 = nix::errno::Errno::EINPROGRESS as i32;
--- /dev/null
+++ b/gateway/src/sockets/peers.rs
@@ -0,0 +1,32 @@
+//! Datagrams between front doors.
+use super::inbox::Inbox;
+use crate::memory::event::Event;
+use may::io::{CoIo, WaitIo};
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+
+/// One byte more than a datagram may have, so that longer ones are known.
+const ROOM: usize = 257;
+
+pub struct Peers(CoIo<UdpSocket>);
+
+impl Peers {
+    pub fn start(at: SocketAddr, inbox: Arc<Inbox>) -> Result<Arc<Peers>, String> {
+        let socket = UdpSocket::bind(at).map_err(|e| format!("{at}: {e}"))?;
+        let peers = Arc::new(Peers(CoIo::new(socket).map_err(|e| format!("{at}: {e:?}"))?));
+        let own = peers.clone();
+        may::go!(move || loop {
+            own.0.wait_io();
+            let mut body = [0; ROOM];
+            while let Ok((n, from)) = own.0.inner().recv_from(&mut body) {
+                inbox.push(Event::Datagram { from, body: body[..n].to_vec() });
+            }
+        });
+        Ok(peers)
+    }
+
+    /// Late or not at all: a datagram that can't leave now is lost.
+    pub fn send(&self, to: SocketAddr, body: &[u8]) {
+        let _ = self.0.inner().send_to(body, to);
+    }
+}
--- /dev/null
+++ b/gateway/src/wire/resp.rs
@@ -0,0 +1,258 @@
+//! RESP2: commands of clients, replies of backends, and what is sent to either.
+use super::{Broken, Decoded};
+use std::ops::Range;
+
+/// The longest value.
+pub const VALUE: usize = 64 * 1024;
+const WORDS: usize = 16;
+const LINE: usize = 1024;
+/// The longest message: a value, and the short words round it.
+pub const MESSAGE: usize = VALUE + 4 * LINE;
+
+/// An invocation as a client wrote it. The message passes on as it came, but for the time left.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Call {
+    pub customer: u64,
+    pub units: f64,
+    pub first: usize,
+    pub spread: usize,
+    /// Milliseconds that the client waits.
+    pub wait: f64,
+    raw: Vec<u8>,
+    operation: Range<usize>,
+    plan: Range<usize>,
+    /// The list of names and values with its length line, and the value of `d` in it.
+    list: Range<usize>,
+    names: usize,
+    d: Range<usize>,
+}
+
+impl Call {
+    pub fn operation(&self) -> &[u8] {
+        &self.raw[self.operation.clone()]
+    }
+    pub fn plan(&self) -> &[u8] {
+        &self.raw[self.plan.clone()]
+    }
+    /// The command for a backend, with the milliseconds that we shall wait.
+    pub fn encode(&self, wait: u64, out: &mut Vec<u8>) {
+        let d = wait.to_string();
+        let list = self.list.end - self.names - self.d.len() + d.len() - 2;
+        out.extend_from_slice(&self.raw[..self.list.start]);
+        out.extend_from_slice(format!("${list}\r\n").as_bytes());
+        out.extend_from_slice(&self.raw[self.names..self.d.start]);
+        out.extend_from_slice(d.as_bytes());
+        out.extend_from_slice(&self.raw[self.d.end..]);
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    Ping,
+    Call(Box<Call>),
+    /// A whole command that can't be served, and why.
+    Wrong(String),
+    /// Nothing after it can be understood.
+    Broken(&'static str),
+}
+
+/// What a backend says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    Value { value: Vec<u8>, billed: Option<f64> },
+    TurnedAway,
+    Failed,
+}
+
+/// What a client hears.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Pong,
+    Value(Vec<u8>),
+    Busy { retry_after_ms: Option<u64> },
+    Error(String),
+}
+
+impl Answer {
+    pub fn encode(&self, out: &mut Vec<u8>) {
+        match self {
+            Answer::Pong => out.extend_from_slice(b"+PONG\r\n"),
+            Answer::Value(value) => {
+                out.extend_from_slice(format!("${}\r\n", value.len()).as_bytes());
+                out.extend_from_slice(value);
+                out.extend_from_slice(b"\r\n");
+            }
+            Answer::Busy { retry_after_ms: None } => out.extend_from_slice(b"-BUSY\r\n"),
+            Answer::Busy { retry_after_ms: Some(ms) } => {
+                out.extend_from_slice(format!("-BUSY {ms}\r\n").as_bytes())
+            }
+            Answer::Error(why) => out.extend_from_slice(format!("-ERR {why}\r\n").as_bytes()),
+        }
+    }
+}
+
+/// The line from `at`, and where the next one begins.
+fn line(bytes: &[u8], at: usize) -> Result<Option<(&[u8], usize)>, Broken> {
+    let rest = &bytes[at.min(bytes.len())..];
+    match rest.iter().take(LINE).position(|b| *b == b'\n') {
+        Some(n) if n > 0 && rest[n - 1] == b'\r' => Ok(Some((&rest[..n - 1], at + n + 1))),
+        Some(_) => Err(Broken("line without CR")),
+        None if rest.len() >= LINE => Err(Broken("line too long")),
+        None => Ok(None),
+    }
+}
+
+fn number(text: &[u8]) -> Result<i64, Broken> {
+    let text = std::str::from_utf8(text).map_err(|_| Broken("length is no number"))?;
+    text.parse().map_err(|_| Broken("length is no number"))
+}
+
+/// A bulk string from `at` (its length line included): where it lies, none if null; and the next.
+fn bulk(bytes: &[u8], at: usize) -> Decoded<Option<Range<usize>>> {
+    let Some((head, from)) = line(bytes, at)? else { return Ok(None) };
+    let Some(b'$') = head.first() else { return Err(Broken("expected a bulk string")) };
+    let length = match number(&head[1..])? {
+        -1 => return Ok(Some((None, from))),
+        n if n < 0 => return Err(Broken("negative length")),
+        n if n > VALUE as i64 => return Err(Broken("value over 64 KiB")),
+        n => n as usize,
+    };
+    if bytes.len() < from + length + 2 {
+        return Ok(None);
+    }
+    if &bytes[from + length..from + length + 2] != b"\r\n" {
+        return Err(Broken("value without its end"));
+    }
+    Ok(Some((Some(from..from + length), from + length + 2)))
+}
+
+/// How many items an array holds, and where the first begins; none if null.
+fn array(bytes: &[u8]) -> Decoded<Option<usize>> {
+    let Some((head, from)) = line(bytes, 0)? else { return Ok(None) };
+    match number(&head[1..])? {
+        -1 => Ok(Some((None, from))),
+        n if (0..=WORDS as i64).contains(&n) => Ok(Some((Some(n as usize), from))),
+        _ => Err(Broken("array too long")),
+    }
+}
+
+/// One command of a client.
+pub fn command(bytes: &[u8]) -> Decoded<Command> {
+    if bytes.is_empty() {
+        return Ok(None);
+    }
+    if bytes[0] != b'*' {
+        return Err(Broken("expected an array of bulk strings"));
+    }
+    let Some((n, mut at)) = array(bytes)? else { return Ok(None) };
+    let mut words = [const { 0..0 }; WORDS];
+    let mut heads = [0; WORDS];
+    let n = n.unwrap_or(0);
+    for i in 0..n {
+        heads[i] = at;
+        let Some((word, next)) = bulk(bytes, at)? else {
+            let long = bytes.len() > MESSAGE;
+            return if long { Err(Broken("message over 64 KiB")) } else { Ok(None) };
+        };
+        words[i] = word.ok_or(Broken("null in a command"))?;
+        at = next;
+    }
+    if at > MESSAGE {
+        return Err(Broken("message over 64 KiB"));
+    }
+    let word = |i: usize| &bytes[words[i].clone()];
+    let is = |name: &str| n > 0 && word(0).eq_ignore_ascii_case(name.as_bytes());
+    let command = if is("PING") {
+        Command::Ping
+    } else if is("CALL.GET") && n == 4 || is("CALL.POST") && n == 5 {
+        match call(&bytes[..at], word(1), heads[3], words[3].clone()) {
+            Ok(call) => Command::Call(Box::new(call)),
+            Err(why) => Command::Wrong(why),
+        }
+    } else if is("CALL.GET") || is("CALL.POST") {
+        Command::Wrong("wrong number of arguments".into())
+    } else {
+        Command::Wrong("unknown command".into())
+    };
+    Ok(Some((command, at)))
+}
+
+fn call(raw: &[u8], customer: &[u8], head: usize, names: Range<usize>) -> Result<Call, String> {
+    let text = |b: &[u8]| std::str::from_utf8(b).map(str::to_owned).map_err(|_| "not UTF-8".to_string());
+    let customer = u64::from_str_radix(&text(customer)?, 16).ok().filter(|c| *c < 1 << 33);
+    let customer = customer.ok_or("customer: expected hex digits below 2^33")?;
+    let (mut operation, mut plan, mut d) = (None, None, None);
+    let (mut units, mut first, mut spread) = (1.0, 0.0, 1.0);
+    let mut at = names.start;
+    for pair in raw[names.clone()].split(|b| *b == b',') {
+        let equals = pair.iter().position(|b| *b == b'=').ok_or("expected name=value")?;
+        let value = at + equals + 1..at + pair.len();
+        let amount = |what: &str, most: f64| -> Result<f64, String> {
+            let n = text(&raw[value.clone()])?.parse::<f64>().ok();
+            let n = n.filter(|n| (0.0..=most).contains(n));
+            n.ok_or_else(|| format!("{what}: expected a number from 0 to {most}"))
+        };
+        match &pair[..equals] {
+            b"c" => operation = Some(value),
+            b"t" => plan = Some(value),
+            b"d" => d = Some((amount("d", 86_400_000.0)?, value)),
+            b"units" => units = amount("units", 1e6)?,
+            b"spread" => spread = amount("spread", 65_535.0)?,
+            b"first" => first = amount("first", 65_535.0)?,
+            _ => {}
+        }
+        at += pair.len() + 1;
+    }
+    let (wait, d) = d.ok_or("d is missing")?;
+    Ok(Call {
+        customer,
+        units,
+        first: first as usize,
+        spread: spread as usize,
+        wait,
+        operation: operation.ok_or("c is missing")?,
+        plan: plan.ok_or("t is missing")?,
+        list: head..names.end + 2,
+        names: names.start,
+        d,
+        raw: raw.to_vec(),
+    })
+}
+
+/// One reply of a backend.
+pub fn reply(bytes: &[u8]) -> Decoded<Reply> {
+    match bytes.first() {
+        None => Ok(None),
+        Some(b'*') => {
+            let Some((n, mut at)) = array(bytes)? else { return Ok(None) };
+            let mut value = None;
+            let mut billed = None;
+            for i in 0..n.unwrap_or(0) {
+                let Some((item, next)) = bulk(bytes, at)? else { return Ok(None) };
+                match (i, item) {
+                    (0, Some(item)) => value = Some(bytes[item].to_vec()),
+                    (1, Some(item)) => billed = figure(&bytes[item], "cost"),
+                    _ => {}
+                }
+                at = next;
+            }
+            let reply = value.map_or(Reply::Failed, |value| Reply::Value { value, billed });
+            Ok(Some((reply, at)))
+        }
+        Some(b'-') => {
+            let Some((text, next)) = line(bytes, 0)? else { return Ok(None) };
+            let busy = text.starts_with(b"-BUSY");
+            Ok(Some((if busy { Reply::TurnedAway } else { Reply::Failed }, next)))
+        }
+        Some(b'+' | b':') => Ok(line(bytes, 0)?.map(|(_, next)| (Reply::Failed, next))),
+        Some(b'$') => Ok(bulk(bytes, 0)?.map(|(_, next)| (Reply::Failed, next))),
+        Some(_) => Err(Broken("unknown type of reply")),
+    }
+}
+
+/// A number by its name in a list of names and values.
+fn figure(list: &[u8], name: &str) -> Option<f64> {
+    let list = std::str::from_utf8(list).ok()?;
+    let value = list.split(',').find_map(|p| p.split_once('=').filter(|(n, _)| *n == name))?.1;
+    value.parse().ok().filter(|n: &f64| n.is_finite())
+}
--- a/drill/src/facts.rs
+++ b/src/facts.rs
@@ -1,7 +1,6 @@
 //! The facts given at start, from JSON into the plain values of the decisions' interface.
-use crate::frame::Malformed;
-use quillramp::decide::Door;
-use quillramp::types::*;
+use crate::decide::Door;
+use crate::types::*;
 use serde::Deserialize;
 
 #[derive(Deserialize)]
@@ -14,24 +13,30 @@
     rules: Rules,
     slot_no: usize,
     tariffs: Vec<Tariff>,
+    #[serde(default)]
+    zones: Vec<String>,
 }
 
 #[derive(Deserialize)]
 struct Caps {
     cancel: bool,
     conn_idle_us: f64,
+    dial_timeout_us: f64,
     max_attempts: usize,
     max_retry_after_us: f64,
     peers: bool,
     retry_after: bool,
     second_copies: bool,
+    streams_per_conn: usize,
 }
 
 #[derive(Deserialize)]
 struct Class {
     aim_us: f64,
+    give_up_us: f64,
     group: String,
     idempotency: String,
+    name: String,
     window_us: f64,
 }
 
@@ -54,16 +59,26 @@
     ceiling_slack: f64,
     depth: f64,
     hard_burst: f64,
+    name: String,
     parallel: usize,
     per_second: f64,
 }
 
+/// The decisions, ready to be asked, and what their caller needs to know itself.
 pub struct Start {
     pub door: Door,
     pub doors: usize,
     pub slot: usize,
-    pub operations: usize,
-    pub plans: usize,
+    pub operations: Vec<String>,
+    pub plans: Vec<String>,
+    pub zones: Vec<String>,
+    /// The list comes only when it is asked for.
+    pub asks: bool,
+    pub dial_timeout: f64,
+    pub link_idle: f64,
+    pub per_link: usize,
+    pub counter_timeout: f64,
+    pub longest_timeout: f64,
 }
 
 fn operation(i: usize, c: &Class) -> Result<Operation, String> {
@@ -82,15 +97,15 @@
     Ok(Operation { latency_objective: c.aim_us / 1e6, effect })
 }
 
-pub fn start(seed: u64, json: &[u8]) -> Result<Start, Malformed> {
-    let told: Told = serde_json::from_slice(json).map_err(|e| Malformed(format!("settings: {e}")))?;
+pub fn start(seed: u64, json: &[u8]) -> Result<Start, String> {
+    let told: Told = serde_json::from_slice(json).map_err(|e| format!("settings: {e}"))?;
     let operations = told.classes.iter().enumerate().map(|(i, c)| operation(i, c));
     let operations: Vec<Operation> =
-        operations.collect::<Result<_, _>>().map_err(|e| Malformed(format!("settings: {e}")))?;
+        operations.collect::<Result<_, _>>().map_err(|e| format!("settings: {e}"))?;
     let asks = match told.discovery.as_str() {
         "pushed" => false,
         "on_request" => true,
-        other => return Err(Malformed(format!("settings: discovery: unknown value '{other}'"))),
+        other => return Err(format!("settings: discovery: unknown value '{other}'")),
     };
     let plans: Vec<Plan> = told
         .tariffs
@@ -115,7 +130,20 @@
     let limits = CounterLimits { timeout: told.extra.counter_timeout_us / 1e6 };
     let counter = told.extra.counter.then_some(limits);
     let hears = if told.caps.peers { told.extra.peer_intake } else { 0.0 };
-    let (n, m, doors) = (operations.len(), plans.len(), told.balancers.max(1));
+    let doors = told.balancers.max(1);
     let door = Door::new((seed, doors as f64, hears, asks), (operations, plans), (rules, may), counter);
-    Ok(Start { door, doors, slot: told.slot_no, operations: n, plans: m })
+    Ok(Start {
+        door,
+        doors,
+        slot: told.slot_no,
+        longest_timeout: told.classes.iter().map(|c| c.give_up_us / 1e6).fold(0.0, f64::max),
+        operations: told.classes.into_iter().map(|c| c.name).collect(),
+        plans: told.tariffs.into_iter().map(|t| t.name).collect(),
+        zones: told.zones,
+        asks,
+        dial_timeout: told.caps.dial_timeout_us / 1e6,
+        link_idle: told.caps.conn_idle_us / 1e6,
+        per_link: told.caps.streams_per_conn.max(1),
+        counter_timeout: told.extra.counter_timeout_us / 1e6,
+    })
 }
