Broken rule: deliveries still out at the client's time-up now end as timed out

Checked: a trace of every verdict by invocation: each lost one was held at its last look (0.005 s left, verdict: not yet), its delivery out; 60 ms later its client left. Ruled out: the resets and refused connects of the crash at 9.8 s, which all went on to another backend. At fault: reducer.rs, release(): a time was set for a delivery only once its invocation had closed, while the decisions wait for the time-out to answer with an error, as the bench gives it. Now the time is set with the first delivery and taken back when the invocation is over. Leaving also waits until the last answers have left the buffers. Tests of the reducer without sockets.

--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,12 +1,8 @@
-//! quillramp: the front door on sockets round the decisions of `quillramp::decide`.
-mod life;
-mod memory;
-mod sockets;
-mod wire;
-
-use life::{configuration, logger, stop};
-use memory::reducer::{Parties, Reducer};
-use sockets::{accept, clock::Clock, drive::Driver, drive::Links, inbox::Inbox, link::Common, peers::Peers};
+//! quillramp: starts the front door; the main thread then waits for the signal to end.
+use quillramp_gateway::life::{configuration, logger, stop};
+use quillramp_gateway::memory::reducer::{Parties, Reducer};
+use quillramp_gateway::sockets::{accept, clock::Clock, drive::Driver, drive::Links, inbox::Inbox};
+use quillramp_gateway::sockets::{link::Common, peers::Peers};
 use std::process::ExitCode;
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
--- a/gateway/src/memory/event.rs
+++ b/gateway/src/memory/event.rs
@@ -88,5 +88,8 @@
     Datagram(SocketAddr, Vec<u8>),
     Log(String),
     StopAccepting,
+    /// Once all that was written has left.
     Exit,
+    /// At once: there is no more time.
+    ExitNow,
 }
--- a/gateway/src/memory/kept.rs
+++ b/gateway/src/memory/kept.rs
@@ -22,8 +22,8 @@
     pub serial: u64,
     pub deliveries: Vec<Sent>,
     pub closed: bool,
-    /// A time is set at which what is still out is given up.
-    pub ends: bool,
+    /// The timer at which what is still out has timed out, from the first delivery on.
+    pub ends: Option<(u64, u64)>,
 }
 
 impl Held {
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -187,9 +187,11 @@
         }
     }
 
-    fn at(&mut self, at: f64, due: Due) {
+    fn at(&mut self, at: f64, due: Due) -> (u64, u64) {
         self.timer_no += 1;
-        self.timers.insert((at.to_bits(), self.timer_no), due);
+        let key = (at.to_bits(), self.timer_no);
+        self.timers.insert(key, due);
+        key
     }
 
     fn due(&mut self, now: f64, due: Due) {
@@ -219,7 +221,7 @@
                 self.at(now + self.start.link_idle / 8.0, Due::Sweep);
             }
             Due::Leave => self.leave(),
-            Due::Exit => self.effects.push(Effect::Exit),
+            Due::Exit => self.effects.push(Effect::ExitNow),
         }
     }
 
@@ -284,7 +286,7 @@
     fn take(&mut self, now: f64, (client, command): (u64, u64), call: Call, ask: Ask) {
         self.serials += 1;
         let (serial, call) = (self.serials, Arc::new(call));
-        let (deliveries, closed, ends) = (vec![], false, false);
+        let (deliveries, closed, ends) = (vec![], false, None);
         let held = Held { ask, call, client, command, serial, deliveries, closed, ends };
         let inv = self.free.pop().unwrap_or_else(|| {
             self.held.push(None);
@@ -386,16 +388,13 @@
         self.effects.extend(errands.log.into_iter().map(Effect::Log));
     }
 
-    /// Frees an invocation that is over; sets a time for what is still out for it.
+    /// Frees an invocation that is over.
     fn release(&mut self, inv: Inv) {
-        let Some(held) = self.held[inv].as_mut().filter(|h| h.closed) else { return };
-        if !held.out() && !self.ended.iter().any(|e| e.0 == inv) {
+        let Some(held) = self.held[inv].as_ref().filter(|h| h.closed && !h.out()) else { return };
+        if !self.ended.iter().any(|e| e.0 == inv) {
+            held.ends.map(|key| self.timers.remove(&key));
             self.held[inv] = None;
             self.free.push(inv);
-        } else if !held.ends {
-            held.ends = true;
-            let (until, serial) = (held.ask.until, held.serial);
-            self.at(until, Due::GiveUp(inv, serial));
         }
     }
 
@@ -406,6 +405,12 @@
         let delivery = held.deliveries.len();
         let id = self.places[tgt].idle.pop();
         held.deliveries.push(Sent { tgt, at: now, link: id });
+        if held.ends.is_none() {
+            // Whoever is still out when the client's time is up timed out, and the decisions hear of it.
+            let (until, serial) = (held.ask.until, held.serial);
+            let ends = self.at(until, Due::GiveUp(inv, serial));
+            self.held[inv].as_mut().expect("held").ends = Some(ends);
+        }
         if let Some(id) = id {
             self.links.get_mut(&id).expect("idle ones are kept").carries.push_back(Some((inv, delivery)));
             return self.write(now, id, inv);
--- a/gateway/src/sockets/drive.rs
+++ b/gateway/src/sockets/drive.rs
@@ -23,6 +23,17 @@
     }
 }
 
+/// While leaving: how often it is looked whether all has been written.
+const LOOK: f64 = 0.005;
+
+#[derive(Default)]
+struct Batch {
+    written: Vec<Conn>,
+    /// Clients' connections that we ended and that still have something to send.
+    closing: Vec<Arc<Link>>,
+    exits: bool,
+}
+
 pub struct Driver {
     pub clock: Clock,
     pub common: Arc<Common>,
@@ -36,18 +47,27 @@
 impl Driver {
     pub fn run(self, mut reducer: Reducer) {
         let mut events = Vec::new();
-        let mut written = Vec::new();
         let mut armed = f64::INFINITY;
-        self.step(&mut reducer, &mut events, &mut written, &mut armed);
+        let mut now = Batch::default();
         loop {
+            let next = self.step(&mut reducer, &mut events, &mut now);
+            now.closing.retain(|link| !link.flushed());
+            let next = match (now.exits, now.closing.is_empty()) {
+                (true, true) => exit(),
+                (true, false) => Some(self.clock.now() + LOOK),
+                _ => next,
+            };
+            if let Some(next) = next.filter(|n| *n < armed) {
+                armed = next;
+                self.common.inbox.ring_in(next - self.clock.now());
+            }
             if self.common.inbox.wait(&mut events) {
                 armed = f64::INFINITY;
             }
-            self.step(&mut reducer, &mut events, &mut written, &mut armed);
         }
     }
 
-    fn step(&self, reducer: &mut Reducer, events: &mut Vec<Event>, written: &mut Vec<Conn>, armed: &mut f64) {
+    fn step(&self, reducer: &mut Reducer, events: &mut Vec<Event>, batch: &mut Batch) -> Option<f64> {
         let now = self.clock.now();
         // New work last: it must not go to a connection whose end is in the same batch.
         events.sort_by_key(|e| matches!(e, Event::Command(..)));
@@ -59,26 +79,23 @@
         }
         let (next, effects) = reducer.settle(now);
         for effect in effects {
-            self.carry_out(effect, written);
+            self.carry_out(effect, batch);
         }
-        written.sort_unstable();
-        written.dedup();
-        for conn in written.drain(..) {
+        batch.written.sort_unstable();
+        batch.written.dedup();
+        for conn in batch.written.drain(..) {
             if let Some(link) = self.links.0.borrow().get(&conn) {
                 link.flush();
             }
         }
-        if let Some(next) = next.filter(|n| n < armed) {
-            *armed = next;
-            self.common.inbox.ring_in(next - self.clock.now());
-        }
+        next
     }
 
-    fn carry_out(&self, effect: Effect, written: &mut Vec<Conn>) {
+    fn carry_out(&self, effect: Effect, batch: &mut Batch) {
         let mut write = |conn: Conn, encode: &dyn Fn(&mut Vec<u8>)| {
             if let Some(link) = self.links.0.borrow().get(&conn) {
                 encode(&mut link.out.borrow_mut());
-                written.push(conn);
+                batch.written.push(conn);
             }
         };
         match effect {
@@ -99,6 +116,9 @@
             Effect::Close(conn) => {
                 if let Some(link) = self.links.remove(conn) {
                     link.close();
+                    if matches!(conn, Conn::Client(_)) && !link.flushed() {
+                        batch.closing.push(link);
+                    }
                 }
             }
             Effect::Datagram(to, body) => {
@@ -113,11 +133,14 @@
                     acceptor.wakeup();
                 }
             }
-            Effect::Exit => {
-                log::info!("stopped");
-                log::logger().flush();
-                std::process::exit(0);
-            }
+            Effect::Exit => batch.exits = true,
+            Effect::ExitNow => exit(),
         }
     }
 }
+
+fn exit() -> ! {
+    log::info!("stopped");
+    log::logger().flush();
+    std::process::exit(0)
+}
--- a/gateway/src/sockets/link.rs
+++ b/gateway/src/sockets/link.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Whether all that was written has left.
+    pub fn flushed(&self) -> bool {
+        self.out.borrow().is_empty()
+    }
+
     /// Ends it from our side; what was written before leaves first.
     pub fn close(&self) {
         self.closed.store(true, Ordering::Relaxed);
@@ -118,12 +123,11 @@
                 up = true;
                 self.common.inbox.push(Event::Up(self.conn));
             }
-            if flags & WRITABLE != 0 && !self.out.borrow().is_empty() {
+            if flags & WRITABLE != 0 && !self.flushed() {
                 self.flush();
             }
             if self.closed.load(Ordering::Relaxed) {
-                if self.out.borrow().is_empty() || !matches!(self.conn, Conn::Client(_)) || flags & ENDED != 0
-                {
+                if self.flushed() || !matches!(self.conn, Conn::Client(_)) || flags & ENDED != 0 {
                     let _ = self.stream.inner().shutdown(Shutdown::Both);
                     return;
                 }
@@ -139,7 +143,7 @@
 
     fn ended(&self, why: Why) {
         if !self.closed.load(Ordering::Relaxed) {
-            let unsent = !self.out.borrow().is_empty();
+            let unsent = !self.flushed();
             self.common.inbox.push(Event::Ended { conn: self.conn, why, unsent });
         }
     }
--- /dev/null
+++ b/gateway/tests/reducer.rs
@@ -0,0 +1,272 @@
+//! The reducer without sockets: events in, the effects it asks for as a short trace.
+use expect_test::{expect, Expect};
+use quillramp_gateway::life::configuration;
+use quillramp_gateway::memory::event::{Conn, Effect, Event, Why};
+use quillramp_gateway::memory::reducer::{Parties, Reducer};
+use quillramp_gateway::wire::http::{Request, Response};
+use quillramp_gateway::wire::resp::{self, Reply};
+
+/// Three front doors, two backends, an idempotent operation `look` and a non-idempotent one `order`.
+const TOLD: &str = include_str!("told.json");
+
+struct Bench {
+    reducer: Reducer,
+    now: f64,
+    text: String,
+}
+
+fn bench() -> Bench {
+    let told = configuration::decode(TOLD.as_bytes()).expect("a good configuration");
+    let start = quillramp::facts::start(told.seed, told.settings.get().as_bytes()).expect("good settings");
+    let (peers, peers_all, counter, list) = (told.peers, told.peers_all, told.counter, told.discovery);
+    let parties = Parties { peers, peers_all, counter, list, sockets: told.limits.sockets };
+    let reducer = Reducer::new(1000.0, start, parties, &told.known);
+    let mut bench = Bench { reducer, now: 1000.0, text: String::new() };
+    bench.settle();
+    bench.text.clear();
+    bench
+}
+
+fn said(effect: &Effect) -> Option<String> {
+    Some(match effect {
+        Effect::Answer(id, answer) => {
+            let mut out = vec![];
+            answer.encode(&mut out);
+            format!("client {id}: {}", String::from_utf8_lossy(&out).trim_end().replace("\r\n", " "))
+        }
+        Effect::Deliver(id, call, wait) => {
+            format!("backend link {id}: {} for {wait} ms", String::from_utf8_lossy(call.operation()))
+        }
+        Effect::Request(conn, Request::Count { add, .. }) => format!("{conn:?}: add {add}"),
+        Effect::Request(conn, Request::Watch { since, .. }) => format!("{conn:?}: watch since {since}"),
+        Effect::Connect(conn, to) => format!("connect {conn:?} to {to}"),
+        Effect::Datagram(to, body) => format!("datagram of {} to {to}", body.len()),
+        Effect::Close(_) => return None, // its log line tells
+        Effect::Log(line) => format!("log: {line}"),
+        Effect::StopAccepting => "stop accepting".into(),
+        Effect::Exit => "exit once all is written".into(),
+        Effect::ExitNow => "exit now".into(),
+    })
+}
+
+impl Bench {
+    fn settle(&mut self) -> Option<f64> {
+        let (next, effects) = self.reducer.settle(self.now);
+        for line in effects.iter().filter_map(said) {
+            self.text += &format!("{:.3} {line}\n", self.now - 1000.0);
+        }
+        next
+    }
+    fn event(&mut self, event: Event) -> &mut Self {
+        self.reducer.reduce(self.now, event);
+        self.settle();
+        self
+    }
+    /// Lets time go by, with a look whenever one is due.
+    fn until(&mut self, at: f64) -> &mut Self {
+        while let Some(next) = self.settle().filter(|n| *n <= 1000.0 + at) {
+            self.now = self.now.max(next);
+        }
+        self.now = 1000.0 + at;
+        self.settle();
+        self
+    }
+    fn client(&mut self, id: u64) -> &mut Self {
+        self.event(Event::Accepted(id))
+    }
+    fn call(&mut self, client: u64, operation: &str, customer: u64) -> &mut Self {
+        self.command(client, operation, &format!("{customer:016x}"), "t=small,d=800,units=1,spread=1,first=0")
+    }
+    fn command(&mut self, client: u64, operation: &str, customer: &str, list: &str) -> &mut Self {
+        let (verb, body) = if operation == "look" { ("CALL.GET", "") } else { ("CALL.POST", "$1\r\nx\r\n") };
+        let (n, list) = (if body.is_empty() { 4 } else { 5 }, format!("c={operation},{list}"));
+        let text = format!(
+            "*{n}\r\n${}\r\n{verb}\r\n${}\r\n{customer}\r\n$2\r\nid\r\n${}\r\n{list}\r\n{body}",
+            verb.len(),
+            customer.len(),
+            list.len()
+        );
+        let (command, _) = resp::command(text.as_bytes()).expect("framed").expect("whole");
+        self.event(Event::Command(client, command))
+    }
+    fn up(&mut self, id: u64) -> &mut Self {
+        self.event(Event::Up(Conn::Backend(id)))
+    }
+    fn value(&mut self, id: u64, value: &str) -> &mut Self {
+        self.event(Event::Reply(id, Reply::Value { value: value.into(), billed: None }))
+    }
+    fn ended(&mut self, conn: Conn, why: Why, unsent: bool) -> &mut Self {
+        self.event(Event::Ended { conn, why, unsent })
+    }
+    fn counter(&mut self, id: u64, status: u16, body: &str) -> &mut Self {
+        self.event(Event::Response(Conn::Counter(id), Response { status, body: body.into(), last: false }))
+    }
+    fn is(&mut self, expected: Expect) {
+        expected.assert_eq(&std::mem::take(&mut self.text));
+    }
+}
+
+#[test]
+fn what_is_out_when_the_clients_time_is_up_has_timed_out_and_is_answered() {
+    let mut b = bench();
+    b.client(1).call(1, "order", 5).until(0.05).up(3).until(1.0);
+    b.is(expect![[r#"
+        0.000 connect Counter(2) to 127.0.0.1:7007
+        0.040 connect Backend(3) to 127.0.0.1:7011
+        0.050 backend link 3: order for 750 ms
+        0.080 log: connection counter 2 ended: dial-timeout
+        0.800 log: connection backend 3 s-a ended: gave-up
+        0.800 client 1: -ERR failed
+    "#]]);
+}
+
+#[test]
+fn answers_go_in_the_order_of_the_commands() {
+    let mut b = bench();
+    b.client(1).call(1, "look", 5).call(1, "look", 6).until(0.05).up(4).up(5).value(5, "second");
+    b.value(4, "first").command(1, "sing", "5", "t=small,d=800").command(1, "look", "x", "t=small,d=800");
+    b.command(1, "look", "5", "t=small,d=800,first=3").command(1, "look", "5", "t=small");
+    b.is(expect![[r#"
+        0.000 connect Counter(2) to 127.0.0.1:7007
+        0.000 connect Counter(3) to 127.0.0.1:7007
+        0.016 connect Backend(4) to 127.0.0.1:7012
+        0.016 connect Backend(5) to 127.0.0.1:7011
+        0.050 backend link 4: look for 750 ms
+        0.050 backend link 5: look for 750 ms
+        0.050 client 1: $5 first
+        0.050 client 1: $6 second
+        0.050 client 1: -ERR unknown operation
+        0.050 client 1: -ERR customer: expected hex digits below 2^33
+        0.050 client 1: -ERR first and spread: no such front doors
+        0.050 client 1: -ERR d is missing
+    "#]]);
+}
+
+#[test]
+fn a_non_idempotent_delivery_goes_again_only_if_it_had_not_left_whole() {
+    let mut b = bench();
+    b.client(1).call(1, "order", 5).until(0.05).up(3);
+    b.ended(Conn::Backend(3), Why::Reset, true).up(4).ended(Conn::Backend(4), Why::Reset, false);
+    b.is(expect![[r#"
+        0.000 connect Counter(2) to 127.0.0.1:7007
+        0.040 connect Backend(3) to 127.0.0.1:7011
+        0.050 backend link 3: order for 750 ms
+        0.050 log: connection backend 3 s-a ended: reset
+        0.050 connect Backend(4) to 127.0.0.1:7012
+        0.050 backend link 4: order for 750 ms
+        0.050 log: connection backend 4 s-b ended: reset
+        0.050 client 1: -ERR failed
+        0.050 log: backend 1 aside for 1 s: 1 bad in a row, last Broken
+    "#]]);
+}
+
+#[test]
+fn a_link_that_comes_up_late_is_written_to_only_if_that_still_makes_sense() {
+    let mut b = bench();
+    b.client(1).call(1, "look", 5).until(0.05);
+    let list = r#"{"index":42,"snapshot":false,"endpoints":[{"name":"s-a","address":"127.0.0.1:7011",
+        "zone":"z","group":0,"status":"DRAINING","weight":1.0,"since_ms":0}]}"#;
+    b.event(Event::Up(Conn::List(1)));
+    b.event(Event::Response(Conn::List(1), Response { status: 200, body: list.into(), last: false }));
+    b.up(3).until(0.1);
+    b.ended(Conn::Client(1), Why::Closed, false).up(4);
+    b.is(expect![[r#"
+        0.000 connect Counter(2) to 127.0.0.1:7007
+        0.016 connect Backend(3) to 127.0.0.1:7011
+        0.050 List(1): watch since 41
+        0.050 List(1): watch since 42
+        0.050 log: connection backend 3 s-a ended: delisted
+        0.050 connect Backend(4) to 127.0.0.1:7012
+        0.080 log: connection counter 2 ended: dial-timeout
+        0.100 log: connection client 1 ended: closed
+        0.100 log: connection backend 4 s-b ended: gave-up
+    "#]]);
+}
+
+#[test]
+fn an_idle_link_serves_again_and_closes_well_before_the_backend_would() {
+    let mut b = bench();
+    b.client(1).call(1, "look", 5).until(0.05).up(3).value(3, "a").until(1.0).call(1, "look", 5).until(1.05);
+    b.until(1.1).value(3, "b").until(10.0);
+    b.is(expect![[r#"
+        0.000 connect Counter(2) to 127.0.0.1:7007
+        0.016 connect Backend(3) to 127.0.0.1:7011
+        0.050 backend link 3: look for 750 ms
+        0.050 client 1: $1 a
+        0.080 log: connection counter 2 ended: dial-timeout
+        1.000 connect Counter(4) to 127.0.0.1:7007
+        1.016 backend link 3: look for 783 ms
+        1.080 log: connection counter 4 ended: dial-timeout
+        1.080 log: counter silent: 4 calls missed in 1.08 s; even slices
+        1.100 client 1: $1 b
+        9.375 log: connection backend 3 s-a ended: idle
+    "#]]);
+}
+
+#[test]
+fn a_silent_counter_connection_is_not_written_to_and_its_late_answer_is_dropped() {
+    let mut b = bench();
+    b.client(1).call(1, "look", 5).event(Event::Up(Conn::Counter(2))).until(0.1);
+    b.call(1, "look", 6).event(Event::Up(Conn::Counter(4))).counter(2, 200, "1").counter(4, 200, "1");
+    b.call(1, "look", 7).counter(2, 503, "").until(0.2);
+    b.is(expect![[r#"
+        0.000 connect Counter(2) to 127.0.0.1:7007
+        0.000 Counter(2): add 1
+        0.016 connect Backend(3) to 127.0.0.1:7011
+        0.100 connect Counter(4) to 127.0.0.1:7007
+        0.100 Counter(4): add 1.026315789473684
+        0.100 Counter(2): add 20.200000000000045
+        0.100 connect Backend(5) to 127.0.0.1:7012
+        0.100 Counter(4): add 1.0249343832020998
+    "#]]);
+}
+
+#[test]
+fn told_to_stop_it_serves_on_then_ends_connections_and_leaves_when_all_is_answered() {
+    let mut b = bench();
+    b.client(1).client(2).event(Event::Stop).until(0.3).call(1, "look", 5).until(0.35).up(3).until(0.6);
+    b.value(3, "a").event(Event::Stop);
+    b.is(expect![[r#"
+        0.000 log: told to stop: serving on, then ending connections
+        0.300 connect Counter(2) to 127.0.0.1:7007
+        0.316 connect Backend(3) to 127.0.0.1:7011
+        0.350 backend link 3: look for 749 ms
+        0.380 log: connection counter 2 ended: dial-timeout
+        0.500 stop accepting
+        0.500 log: connection client 2 ended: stopping
+        0.566 connect Backend(4) to 127.0.0.1:7012
+        0.600 client 1: $1 a
+        0.600 log: connection client 1 ended: stopping
+        0.600 exit once all is written
+        0.600 log: connection backend 4 s-b ended: gave-up
+    "#]]);
+}
+
+#[test]
+fn strangers_and_malformed_datagrams_are_dropped_and_counted() {
+    let mut b = bench();
+    let peer = "127.0.0.1:7004".parse().expect("an address");
+    let stranger = "127.0.0.1:9".parse().expect("an address");
+    b.event(Event::Datagram { from: peer, body: b"\x01s-a".to_vec() });
+    b.event(Event::Datagram { from: stranger, body: b"\x01s-a".to_vec() });
+    b.event(Event::Datagram { from: peer, body: vec![2; 300] });
+    b.is(expect![[r#"
+        0.000 log: datagrams dropped so far: 1
+        0.000 log: datagrams dropped so far: 2
+    "#]]);
+}
+
+#[test]
+fn broken_framing_is_said_and_the_connection_closes_after_what_it_is_owed() {
+    let mut b = bench();
+    b.client(1).call(1, "look", 5).event(Event::Command(1, resp::Command::Broken("no array")));
+    b.until(0.05).up(3).value(3, "a");
+    b.is(expect![[r#"
+        0.000 connect Counter(2) to 127.0.0.1:7007
+        0.016 connect Backend(3) to 127.0.0.1:7011
+        0.050 backend link 3: look for 750 ms
+        0.050 client 1: $1 a
+        0.050 client 1: -ERR protocol: no array
+        0.050 log: connection client 1 ended: bad-framing
+    "#]]);
+}
