--- a/gateway/src/memory/kept.rs
+++ b/gateway/src/memory/kept.rs
@@ -23,7 +23,7 @@
     pub deliveries: Vec<Sent>,
     pub closed: bool,
     /// The timer at which what is still out has timed out, from the first delivery on.
-    pub ends: Option<(u64, u64)>,
+    pub ends: Option<Timer>,
 }
 
 impl Held {
@@ -62,14 +62,17 @@
 #[derive(Default)]
 pub struct CounterLink {
     pub up: bool,
-    pub calls: VecDeque<(u64, Option<CountName>)>,
+    pub calls: VecDeque<(u64, Option<(CountName, Timer)>)>,
     /// Calls for when it is up.
-    pub waits: Vec<(CounterCall, u64)>,
+    pub waits: Vec<(CounterCall, u64, Timer)>,
     /// A call on it went unanswered past its time, and nothing came since.
     pub silent: bool,
     pub used: f64,
 }
 
+/// A timer, by its time and number.
+pub type Timer = (u64, u64);
+
 /// What a timer is for.
 #[derive(Clone, Copy, Debug)]
 pub enum Due {
--- a/gateway/src/sockets/inbox.rs
+++ b/gateway/src/sockets/inbox.rs
@@ -49,11 +49,8 @@
     /// Waits for events or the alarm; true if it rang.
     pub fn wait(&self, into: &mut Vec<Event>) -> bool {
         const READABLE: usize = 1;
+        // Setting it anew clears what it would have us read.
         let rang = self.alarm.wait_io() & READABLE != 0;
-        if rang {
-            // It rang: read, or it is not told of again.
-            let _ = self.alarm.inner().0.wait();
-        }
         std::mem::swap(&mut *self.events.borrow_mut(), into);
         if self.told_to_stop.swap(false, Ordering::Acquire) {
             into.push(Event::Stop);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -200,12 +200,12 @@
     pub fn place(&mut self, now: f64, inv: Inv, ask: &Ask) -> Answer {
         self.awake(now);
         if !self.invs.contains_key(&inv) {
-            let longest = self.counter.map_or(0.0, |c| c.timeout).min((ask.until - now) / 4.0);
-            let deadline = longest.min(DEADLINE * self.operations[ask.operation].latency_objective);
-            let (ask, came, counter_until, luck) = (*ask, now, now + deadline, self.chance());
-            self.invs.insert(inv, Invocation { ask, came, luck, counter_until, ..Invocation::default() });
+            let most = self.counter.map_or(0.0, |c| c.timeout).min((ask.until - now) / 4.0);
+            let counter_until = now + most.min(DEADLINE * self.operations[ask.operation].latency_objective);
+            let (ask, came, luck, last) = (*ask, now, self.chance(), ask.until - ANSWER_BY);
+            self.invs.insert(inv, Invocation { ask, came, last, luck, counter_until, ..Default::default() });
             self.ring(counter_until, Bell::Inv(inv));
-            self.ring(ask.until - ANSWER_BY, Bell::Inv(inv)); // a last look, whatever it is held for
+            self.ring(last, Bell::Inv(inv));
         }
         let verdict = self.decide(now, inv);
         self.answer(inv, verdict)
@@ -235,7 +235,8 @@
 
     /// How long to wait, and whom to ask about again now.
     pub fn wait(&mut self, now: f64) -> Wait {
-        while let Some(e) = self.bells.first_entry().filter(|e| f64::from_bits(e.key().0) <= now) {
+        let at = now.to_bits();
+        while let Some(e) = self.bells.first_entry().filter(|e| e.key().0 <= at || vain(e, &self.invs)) {
             match e.remove() {
                 Bell::Inv(inv) => self.again.push(inv),
                 Bell::Customer(c) => self.lapse(now, c),
@@ -244,11 +245,10 @@
         }
         self.again.sort_unstable();
         self.again.dedup();
-        let live = |i: &Inv| self.invs.get(i).is_some_and(|v| !v.closed);
-        let again = std::mem::take(&mut self.again).into_iter().filter(live).collect();
+        self.again.retain(|inv| self.invs.get(inv).is_some_and(|v| !v.closed));
         let seconds = self.bells.keys().next().map(|k| f64::from_bits(k.0) - now);
         let (idle, errands) = (std::mem::take(&mut self.idle), std::mem::take(&mut self.errands));
-        Wait { again, idle, seconds, errands }
+        Wait { again: std::mem::take(&mut self.again), idle, seconds, errands }
     }
 
     /// The door itself stood still: the silence meanwhile is not its backends'.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! What a front door remembers, grouped by how long it lives. Plain values: `decide.rs` decides.
 use crate::types::*;
+use std::collections::btree_map::{BTreeMap, OccupiedEntry};
 use std::collections::VecDeque;
 
 // ======== for one delivery
@@ -15,6 +16,7 @@
     pub ask: Ask,
     pub came: f64,
     pub luck: f64, // what a cold backend must have of its capacity to get it
+    pub last: f64, // a last look, whatever it is held for
     pub counter_until: f64,
     pub admitted: bool,
     pub look: f64,
@@ -116,3 +118,9 @@
     Customer(Customer),
     List,
 }
+
+/// A bell that nobody need wake for: its invocation is over, or waits for a delivery and looks later.
+pub fn vain(bell: &OccupiedEntry<(u64, u64), Bell>, invs: &BTreeMap<Inv, Invocation>) -> bool {
+    let (at, Bell::Inv(inv)) = (f64::from_bits(bell.key().0), bell.get()) else { return false };
+    invs.get(inv).is_none_or(|v| v.closed || v.out() > 0 && at < v.look && at != v.last)
+}
