--- /dev/null
+++ b/examples/toy.rs
@@ -0,0 +1,170 @@
+//! A toy world for one front door, on loopback: backends, a counter and a list service, from their public
+//! descriptions. `toy` starts them where `examples/configuration.json` looks for them; `toy call OPERATION N`
+//! sends N invocations to the front door, one after another, and prints the answers.
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Result, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, spawn};
+use std::time::Duration;
+
+/// Runs `serve` on a thread of its own for each connection.
+fn each(listener: TcpListener, serve: impl Fn(TcpStream) -> Result<()> + Clone + Send + 'static) {
+    spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            spawn(move || serve(stream)); // it ends with its connection
+        }
+    });
+}
+
+/// Reads one RESP2 array of bulk strings; none at the end.
+fn command(from: &mut impl BufRead) -> Result<Option<Vec<String>>> {
+    let mut line = String::new();
+    if from.read_line(&mut line)? == 0 {
+        return Ok(None);
+    }
+    let mut words = Vec::new();
+    for _ in 0..line[1..].trim().parse::<usize>().unwrap_or(0) {
+        line.clear();
+        from.read_line(&mut line)?;
+        let mut word = vec![0; line[1..].trim().parse::<usize>().unwrap_or(0) + 2];
+        from.read_exact(&mut word)?;
+        words.push(String::from_utf8_lossy(&word[..word.len() - 2]).into_owned());
+    }
+    Ok(Some(words))
+}
+
+/// A backend: answers each invocation with its own name, the operation and the body. An operation named
+/// `slow` takes 300 ms, one named `fail` fails.
+pub fn backend(listener: TcpListener, name: &'static str) {
+    each(listener, move |stream| {
+        let (mut from, mut to) = (BufReader::new(stream.try_clone()?), stream);
+        while let Some(words) = command(&mut from)? {
+            let list = words.get(3).map_or("", |l| l);
+            let operation = list.split(',').find_map(|p| p.strip_prefix("c=")).unwrap_or("?");
+            if operation == "slow" {
+                sleep(Duration::from_millis(300));
+            }
+            let value = format!("{name} {operation} {}", words.get(4).map_or("", |b| b)).trim().to_string();
+            match (words.first().map_or("", |w| w), operation) {
+                ("PING", _) => write!(to, "+PONG\r\n")?,
+                (_, "fail") => write!(to, "-ERR failed\r\n")?,
+                _ => write!(to, "*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len())?,
+            }
+        }
+        Ok(())
+    });
+}
+
+/// Reads the head of an HTTP request without a body: its target; none at the end.
+fn target(from: &mut impl BufRead) -> Result<Option<String>> {
+    let mut first = String::new();
+    if from.read_line(&mut first)? == 0 {
+        return Ok(None);
+    }
+    let mut line = String::new();
+    while from.read_line(&mut line)? > 2 {
+        line.clear();
+    }
+    Ok(first.split(' ').nth(1).map(str::to_owned))
+}
+
+fn number(target: &str, name: &str) -> f64 {
+    let query = target.split_once('?').map_or("", |(_, q)| q);
+    let value = query.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('='));
+    value.and_then(|v| v.parse().ok()).unwrap_or(0.0)
+}
+
+/// The shared count.
+pub fn counter(listener: TcpListener) {
+    let counts: Arc<Mutex<HashMap<String, f64>>> = Arc::default();
+    each(listener, move |stream| {
+        let (mut from, mut to) = (BufReader::new(stream.try_clone()?), stream);
+        while let Some(target) = target(&mut from)? {
+            let name = target.split('?').next().unwrap_or("").to_string();
+            let total = {
+                let mut counts = counts.lock().expect("no call panics");
+                let total = counts.entry(name).or_default();
+                *total += number(&target, "by");
+                total.to_string()
+            };
+            write!(to, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{total}", total.len())?;
+        }
+        Ok(())
+    });
+}
+
+/// The list service: it knows one list, and a watch for more waits in vain.
+pub fn list(listener: TcpListener, listing: String) {
+    each(listener, move |stream| {
+        let (mut from, mut to) = (BufReader::new(stream.try_clone()?), stream);
+        while let Some(target) = target(&mut from)? {
+            let known = number(&target, "since") >= 1.0;
+            if known {
+                sleep(Duration::from_millis(number(&target, "timeout_ms") as u64));
+            }
+            let nothing = r#"{"index":1,"snapshot":false,"endpoints":[]}"#;
+            let body = if known { nothing } else { &listing };
+            write!(to, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
+        }
+        Ok(())
+    });
+}
+
+/// One invocation as a client writes it; operations other than `look` and `slow` are not idempotent.
+pub fn invocation(operation: &str, wait_ms: u64) -> String {
+    let (verb, body) =
+        if matches!(operation, "look" | "slow") { ("CALL.GET", "") } else { ("CALL.POST", "$4\r\nbody\r\n") };
+    let list = format!("c={operation},t=small,d={wait_ms},units=1,spread=1,first=0");
+    let words = if body.is_empty() { 4 } else { 5 };
+    let (customer, id) = ("0000000000000005", "9b1f03aa5c7e2d41");
+    format!(
+        "*{words}\r\n${}\r\n{verb}\r\n$16\r\n{customer}\r\n$16\r\n{id}\r\n${}\r\n{list}\r\n{body}",
+        verb.len(),
+        list.len()
+    )
+}
+
+/// Reads one reply: its line, and a value if there is one.
+pub fn reply(from: &mut impl BufRead) -> Result<String> {
+    let mut line = String::new();
+    from.read_line(&mut line)?;
+    if let Some(length) = line.strip_prefix('$').and_then(|n| n.trim().parse::<usize>().ok()) {
+        let mut value = vec![0; length + 2];
+        from.read_exact(&mut value)?;
+        return Ok(String::from_utf8_lossy(&value[..length]).into_owned());
+    }
+    Ok(line.trim_end().to_string())
+}
+
+#[allow(dead_code)] // as a module of a test it is not started by this
+fn main() -> Result<()> {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    if let [call, operation, times] = &words[..] {
+        assert_eq!(call, "call", "usage: toy [call OPERATION N]");
+        let mut to = TcpStream::connect("127.0.0.1:7400")?;
+        let mut from = BufReader::new(to.try_clone()?);
+        for _ in 0..times.parse().unwrap_or(1) {
+            to.write_all(invocation(operation, 1000).as_bytes())?;
+            println!("{}", reply(&mut from)?);
+        }
+        return Ok(());
+    }
+    backend(TcpListener::bind("127.0.0.1:7411")?, "a");
+    backend(TcpListener::bind("127.0.0.1:7412")?, "b");
+    counter(TcpListener::bind("127.0.0.1:7402")?);
+    let entry = |name: &str, port: u16| {
+        format!(
+            r#"{{"name":"{name}","address":"127.0.0.1:{port}","zone":"z","type":"m","group":0,
+             "status":"SERVING","weight":1.0,"since_ms":0}}"#
+        )
+    };
+    let (a, b) = (entry("s-a", 7411), entry("s-b", 7412));
+    let listing = format!(r#"{{"index":1,"snapshot":true,"endpoints":[{a},{b}]}}"#);
+    list(TcpListener::bind("127.0.0.1:7401")?, listing);
+    println!("backends, counter and list service are up; end with Ctrl-C");
+    loop {
+        std::thread::park();
+    }
+}
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -52,6 +52,7 @@
     counters: BTreeMap<u64, CounterLink>,
     counter_calls: u64,
     list: Option<u64>,
+    watch_ends: Timer,
     index: u64,
     conns: u64,
     timers: BTreeMap<Timer, Due>,
@@ -107,6 +108,7 @@
             counters: BTreeMap::new(),
             counter_calls: 0,
             list: None,
+            watch_ends: (0, 0),
             index: 0,
             conns: 0,
             timers: BTreeMap::new(),
@@ -138,12 +140,12 @@
             Event::Command(id, command) => self.command(now, id, command),
             Event::Reply(id, reply) => self.replied(now, id, reply),
             Event::Response(Conn::Counter(id), r) => self.counted(now, id, r),
-            Event::Response(_, r) => self.watched(now, r),
+            Event::Response(Conn::List(id), r) if self.list == Some(id) => self.watched(now, id, r),
+            Event::Response(..) => {}
             Event::Up(Conn::Backend(id)) => self.up(now, id),
             Event::Up(Conn::Counter(id)) => self.counter_up(id),
             Event::Up(conn) => {
-                let watch = Request::Watch { since: self.index, wait_ms: (WATCH * 1e3) as u64 };
-                self.effects.push(Effect::Request(conn, watch));
+                self.effects.push(Effect::Request(conn, self.next_watch()));
             }
             Event::Ended { conn, why, unsent } => {
                 self.log_end(conn, why);
@@ -562,19 +564,25 @@
         let id = self.new_conn();
         self.list = Some(id);
         self.effects.push(Effect::Connect(Conn::List(id), self.parties.list));
-        self.at(now + WATCH + OVERRUN, Due::Watch(id));
+        self.watch_until(now, id);
     }
 
-    fn watched(&mut self, now: f64, response: Response) {
-        let Some(id) = self.list else { return };
+    fn next_watch(&self) -> Request {
+        Request::Watch { since: self.index, wait_ms: (WATCH * 1e3) as u64 }
+    }
+
+    fn watch_until(&mut self, now: f64, id: u64) {
+        self.timers.remove(&self.watch_ends);
+        self.watch_ends = self.at(now + WATCH + OVERRUN, Due::Watch(id));
+    }
+
+    fn watched(&mut self, now: f64, id: u64, response: Response) {
         let list = (response.status == 200).then(|| listing::decode(&response.body));
         match list {
             Some(Ok(list)) if !response.last => {
                 self.listed(now, &list);
-                let watch = Request::Watch { since: self.index, wait_ms: (WATCH * 1e3) as u64 };
-                self.effects.push(Effect::Request(Conn::List(id), watch));
-                self.timers.retain(|_, due| !matches!(due, Due::Watch(_)));
-                self.at(now + WATCH + OVERRUN, Due::Watch(id));
+                self.effects.push(Effect::Request(Conn::List(id), self.next_watch()));
+                self.watch_until(now, id);
             }
             Some(Ok(list)) => {
                 self.listed(now, &list);
--- a/gateway/src/sockets/drive.rs
+++ b/gateway/src/sockets/drive.rs
@@ -48,18 +48,19 @@
     pub fn run(self, mut reducer: Reducer) {
         let mut events = Vec::new();
         let mut armed = f64::INFINITY;
-        let mut now = Batch::default();
+        let mut batch = Batch::default();
         loop {
-            let next = self.step(&mut reducer, &mut events, &mut now);
-            now.closing.retain(|link| !link.flushed());
-            let next = match (now.exits, now.closing.is_empty()) {
+            let next = self.step(&mut reducer, &mut events, &mut batch);
+            batch.closing.retain(|link| !link.flushed());
+            let next = match (batch.exits, batch.closing.is_empty()) {
                 (true, true) => exit(),
                 (true, false) => Some(self.clock.now() + LOOK),
                 _ => next,
             };
-            if let Some(next) = next.filter(|n| *n < armed) {
+            let now = self.clock.now();
+            if let Some(next) = next.filter(|n| *n < armed || armed <= now) {
                 armed = next;
-                self.common.inbox.ring_in(next - self.clock.now());
+                self.common.inbox.ring_in(next - now);
             }
             if self.common.inbox.wait(&mut events) {
                 armed = f64::INFINITY;
--- a/gateway/src/sockets/link.rs
+++ b/gateway/src/sockets/link.rs
@@ -15,6 +15,8 @@
 /// Buffers larger than this are not kept.
 const KEPT: usize = 16 * 1024;
 const SCRATCH: usize = 64 * 1024;
+/// So much may wait to be written before reading stops.
+const UNREAD: usize = 1024 * 1024;
 
 /// What all connections share.
 pub struct Common {
@@ -111,6 +113,7 @@
     fn serve(&self, mut up: bool) {
         let mut got = Vec::new();
         let mut deaf = false;
+        let mut unread = 0;
         loop {
             let flags = self.stream.wait_io();
             if !up && !self.closed.load(Ordering::Relaxed) {
@@ -133,8 +136,13 @@
                 }
                 deaf = true;
             }
-            if flags & READABLE != 0 {
-                if let Err(why) = self.read(flags & ENDED != 0, &mut got, &mut deaf) {
+            // A client that reads no answers is not read from either.
+            let full = self.out.borrow().len() > UNREAD;
+            unread |= flags & READABLE;
+            let ended = unread & ENDED != 0;
+            if unread != 0 && (!full || ended) {
+                unread = 0;
+                if let Err(why) = self.read(ended, &mut got, &mut deaf) {
                     return self.ended(why);
                 }
             }
--- /dev/null
+++ b/gateway/tests/loopback.rs
@@ -0,0 +1,97 @@
+//! The real program on loopback, among the toy world of `examples/`.
+use expect_test::expect;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+#[path = "../../examples/toy.rs"]
+mod toy;
+
+fn start(configuration: &Path) -> Child {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_quillramp"));
+    program.env("EDGE_CONFIG", configuration).stderr(Stdio::piped());
+    program.spawn().expect("the program starts")
+}
+
+fn free() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let at = listener.local_addr().expect("an address");
+    (listener, at)
+}
+
+/// Sends this and reads so many replies.
+fn say(at: SocketAddr, text: &str, replies: usize) -> String {
+    let mut to = TcpStream::connect(at).expect("it accepts");
+    to.set_read_timeout(Some(Duration::from_secs(5))).expect("a time-out");
+    let mut from = BufReader::new(to.try_clone().expect("a second handle"));
+    to.write_all(text.as_bytes()).expect("it reads");
+    let replies = (0..replies).map(|_| toy::reply(&mut from).expect("a reply") + "\n");
+    replies.collect()
+}
+
+#[test]
+fn it_serves_says_what_is_wrong_and_ends_in_order() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let bad = folder.join("bad.json");
+    std::fs::write(&bad, "{\"name\": 3}").expect("a file");
+    let output = start(&bad).wait_with_output().expect("it ends");
+    let said = String::from_utf8_lossy(&output.stderr).replace(&*bad.to_string_lossy(), "FILE");
+    let mut text = format!("{:?}: {said}", output.status.code());
+
+    let (backend, backend_at) = free();
+    let (counter, counter_at) = free();
+    let (list, list_at) = free();
+    let (_, listen) = free(); // free again for the front door
+    toy::backend(backend, "a");
+    toy::counter(counter);
+    let entry = format!(
+        r#"{{"name":"s-a","address":"{backend_at}","zone":"z","group":0,"status":"SERVING","weight":1.0,"since_ms":0}}"#
+    );
+    toy::list(list, format!(r#"{{"index":1,"snapshot":true,"endpoints":[{entry}]}}"#));
+    let example = include_str!("../../examples/configuration.json");
+    let told = example.replace("127.0.0.1:7400", &listen.to_string());
+    let told = told.replace("127.0.0.1:7401", &list_at.to_string());
+    let told =
+        told.replace("127.0.0.1:7402", &counter_at.to_string()).replace("127.0.0.1:7403", "127.0.0.1:0");
+    let good = folder.join("good.json");
+    std::fs::write(&good, told).expect("a file");
+    let mut door = start(&good);
+    let from = Instant::now();
+    while TcpStream::connect(listen).is_err() && from.elapsed() < Duration::from_secs(10) {
+        sleep(Duration::from_millis(10));
+    }
+    sleep(Duration::from_millis(200)); // for the list
+
+    text += &say(listen, "*1\r\n$4\r\nPING\r\n", 1);
+    text += &say(listen, &(toy::invocation("slow", 1400) + &toy::invocation("sing", 2900)), 2);
+    text += &say(listen, &toy::invocation("order", 2900), 1);
+    text += &say(listen, &toy::invocation("fail", 2900), 1);
+    text += &say(listen, "PING\r\n", 2);
+    let pid = Pid::from_raw(i32::try_from(door.id()).expect("a process id"));
+    kill(pid, Signal::SIGTERM).expect("it runs");
+    sleep(Duration::from_millis(150));
+    text += &say(listen, &toy::invocation("look", 1000), 1);
+    text += &format!("{:?}\n", door.wait().expect("it ends").code());
+    let mut log = String::new();
+    door.stderr.take().expect("piped").read_to_string(&mut log).expect("text");
+    text += &format!("{} clients ended with a reason\n", log.matches("connection client").count());
+    expect![[r#"
+        Some(1): quillramp: FILE: invalid type: integer `3`, expected a string at line 1 column 10
+        +PONG
+        a slow
+        -ERR unknown operation
+        a order body
+        -ERR failed
+        -ERR protocol: expected an array of bulk strings
+
+        a look
+        Some(0)
+        7 clients ended with a reason
+    "#]]
+    .assert_eq(&text);
+}
--- /dev/null
+++ b/gateway/tests/wire.rs
@@ -0,0 +1,186 @@
+//! The codecs, each message cut at every byte: none of its beginnings says anything, all of it says the same.
+use expect_test::expect;
+use quillramp::types::Doors;
+use quillramp::word::{self, Said};
+use quillramp_gateway::wire::http::{self, Request};
+use quillramp_gateway::wire::resp::{self, Answer, Command};
+use quillramp_gateway::wire::{listing, Decoded};
+use std::fmt::Debug;
+
+fn said<T: Debug + PartialEq>(
+    decode: fn(&[u8]) -> Decoded<T>,
+    message: &str,
+    show: fn(&T) -> String,
+) -> String {
+    let bytes = message.as_bytes();
+    for cut in 0..bytes.len() {
+        match decode(&bytes[..cut]) {
+            Ok(None) => {}
+            Err(broken) => return format!("after {cut} bytes: {broken:?}\n"),
+            Ok(Some((m, n))) => return format!("{} in {n} of {} bytes\n", show(&m), bytes.len()),
+        }
+    }
+    let once = decode(bytes);
+    assert_eq!(once, decode(&[bytes, b"*1\r\n"].concat()), "what follows changes nothing");
+    match once {
+        Ok(Some((m, n))) => format!("{} in {n} of {} bytes\n", show(&m), bytes.len()),
+        Ok(None) => "more is wanted\n".into(),
+        Err(broken) => format!("{broken:?}\n"),
+    }
+}
+
+fn command(message: &str) -> String {
+    said(resp::command, message, |c| match c {
+        Command::Call(call) => {
+            let mut out = vec![];
+            call.encode(77, &mut out);
+            format!("{}; passed on as {:?}", call.customer, String::from_utf8_lossy(&out))
+        }
+        other => format!("{other:?}"),
+    })
+}
+
+#[test]
+fn commands() {
+    let mut all = command("*1\r\n$4\r\nping\r\n");
+    all += &command("*4\r\n$8\r\nCALL.GET\r\n$2\r\n1f\r\n$1\r\n7\r\n$22\r\nc=look,d=480,k=z,t=big\r\n");
+    all +=
+        &command("*5\r\n$9\r\nCALL.POST\r\n$2\r\n1f\r\n$1\r\n7\r\n$13\r\nc=o,t=b,d=1e3\r\n$3\r\n\r\nx\r\n");
+    for list in ["c=o,t=b", "c=o,d=1", "c", "c=o,t=b,d=-1", "c=o,t=b,d=1,units=x", "c=o,t=b,d=1,spread=1e9"] {
+        let length = list.len();
+        all += &command(&format!("*4\r\n$8\r\nCALL.GET\r\n$1\r\n5\r\n$1\r\n7\r\n${length}\r\n{list}\r\n"));
+    }
+    all += &command("*3\r\n$8\r\nCALL.GET\r\n$9\r\n200000000\r\n$1\r\n7\r\n");
+    all += &command("*2\r\n$3\r\nGET\r\n$0\r\n\r\n");
+    for broken in
+        ["PING\r\n", "*1\r\n:1\r\n", "*1\r\n$x\r\n", "*1\r\n$-2\r\n", "*1\r\n$1\r\nab\r\n", "*99\r\n"]
+    {
+        all += &command(broken);
+    }
+    all += &command("*1\r\n$65537\r\n");
+    all += &command("*1\n");
+    all += &command(&format!("*5\r\n{0}{0}", format!("$40000\r\n{}\r\n", "x".repeat(40000))));
+    expect![[r#"
+        Ping in 14 of 14 bytes
+        31; passed on as "*4\r\n$8\r\nCALL.GET\r\n$2\r\n1f\r\n$1\r\n7\r\n$21\r\nc=look,d=77,k=z,t=big\r\n" in 62 of 62 bytes
+        31; passed on as "*5\r\n$9\r\nCALL.POST\r\n$2\r\n1f\r\n$1\r\n7\r\n$12\r\nc=o,t=b,d=77\r\n$3\r\n\r\nx\r\n" in 63 of 63 bytes
+        Wrong("d is missing") in 45 of 45 bytes
+        Wrong("t is missing") in 45 of 45 bytes
+        Wrong("expected name=value") in 39 of 39 bytes
+        Wrong("d: expected a number from 0 to 86400000") in 51 of 51 bytes
+        Wrong("units: expected a number from 0 to 1000000") in 58 of 58 bytes
+        Wrong("spread: expected a number from 0 to 65535") in 61 of 61 bytes
+        Wrong("wrong number of arguments") in 40 of 40 bytes
+        Wrong("unknown command") in 19 of 19 bytes
+        after 1 bytes: Broken("expected an array of bulk strings")
+        Broken("expected a bulk string")
+        Broken("length is no number")
+        Broken("negative length")
+        after 11 bytes: Broken("value without its end")
+        Broken("array too long")
+        Broken("value over 64 KiB")
+        Broken("line without CR")
+        after 69633 bytes: Broken("message over 64 KiB")
+    "#]].assert_eq(&all);
+}
+
+#[test]
+fn replies() {
+    let reply = |message: &str| said(resp::reply, message, |r| format!("{r:?}"));
+    let mut all = String::new();
+    for message in [
+        "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n",
+        "*3\r\n$1\r\nv\r\n$16\r\nused=40,cost=2.5\r\n$-1\r\n",
+        "*3\r\n$0\r\n\r\n$8\r\ncost=2.5\r\n$10\r\ninflight=7\r\n",
+        "*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+        "*-1\r\n",
+        "-ERR failed inflight=7\r\n",
+        "-BUSY\r\n",
+        "+OK\r\n",
+        "$1\r\nx\r\n",
+        "?\r\n",
+    ] {
+        all += &reply(message);
+    }
+    let value = Answer::Value(b"a\r\nb".to_vec());
+    for answer in [Answer::Pong, value, Answer::Busy { retry_after_ms: None }, Answer::Error("no".into())] {
+        let mut out = vec![];
+        answer.encode(&mut out);
+        all += &format!("{:?}\n", String::from_utf8_lossy(&out));
+    }
+    expect![[r#"
+        Value { value: [118], billed: None } in 21 of 21 bytes
+        Value { value: [118], billed: Some(2.5) } in 39 of 39 bytes
+        Value { value: [], billed: Some(2.5) } in 41 of 41 bytes
+        Failed in 19 of 19 bytes
+        Failed in 5 of 5 bytes
+        Failed in 24 of 24 bytes
+        TurnedAway in 7 of 7 bytes
+        Failed in 5 of 5 bytes
+        Failed in 7 of 7 bytes
+        after 1 bytes: Broken("unknown type of reply")
+        "+PONG\r\n"
+        "$4\r\na\r\nb\r\n"
+        "-BUSY\r\n"
+        "-ERR no\r\n"
+    "#]]
+    .assert_eq(&all);
+}
+
+#[test]
+fn responses() {
+    let response = |message: &str| {
+        said(http::response, message, |r| {
+            format!(
+                "{} {:?}{}",
+                r.status,
+                String::from_utf8_lossy(&r.body),
+                if r.last { ", the last" } else { "" }
+            )
+        })
+    };
+    let mut all = String::new();
+    for message in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n12.5",
+        "HTTP/1.1 503 Full\r\ncontent-length: 0\r\nConnection: close\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n1\r\nd\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+        "SMTP\r\n\r\n",
+    ] {
+        all += &response(message);
+    }
+    let mut out = vec![];
+    Request::Count { name: "5.1".into(), add: -2.5, lives_ms: 45000 }.encode("h", &mut out);
+    Request::Watch { since: 41, wait_ms: 20000 }.encode("h", &mut out);
+    all += &String::from_utf8_lossy(&out).replace("\r\n", "|");
+    expect![[r#"
+        200 "12.5" in 42 of 42 bytes
+        503 "", the last in 59 of 59 bytes
+        200 "abcd" in 66 of 66 bytes
+        after 19 bytes: Broken("response without a length")
+        Broken("body too long")
+        after 1 bytes: Broken("no HTTP")
+        POST /counters/5.1?by=-2.5&expire_ms=45000 HTTP/1.1|Host: h|Content-Length: 0||GET /v1/endpoints?since=41&timeout_ms=20000 HTTP/1.1|Host: h||"#]].assert_eq(&all);
+}
+
+#[test]
+fn lists_and_words() {
+    let entry = r#"{"name":"s","address":"127.0.0.1:1","zone":"a","group":3,"status":"DRAINING","weight":1,"since_ms":5}"#;
+    let list = format!(r#"{{"index":4,"snapshot":false,"endpoints":[{entry}]}}"#);
+    let mut all = format!("{:?}\n", listing::decode(list.as_bytes()));
+    all += &format!("{:?}\n", listing::decode(list.replace("DRAINING", "GONE").as_bytes()));
+    let of = Doors { first: 2, number: 3 };
+    let count = Said::Count { customer: 1 << 32 | 9, plan: 1, of, series: 7, total: 2.5 };
+    for said in [Said::Backend(b"s-5be2a07c".to_vec()), count] {
+        let body = word::encode(&said);
+        assert_eq!(word::decode(&body), Some(said));
+        all += &format!("{} bytes; cut short: {:?}\n", body.len(), word::decode(&body[..1]));
+    }
+    expect![[r#"
+        Ok(Listing { index: 4, snapshot: false, endpoints: [Endpoint { name: "s", address: 127.0.0.1:1, zone: "a", group: 3, status: Draining, weight: 1.0, since_ms: 5.0 }] })
+        Err("list: unknown status 'GONE' at line 1 column 113")
+        11 bytes; cut short: None
+        19 bytes; cut short: None
+    "#]].assert_eq(&all);
+}
