Calls on one counter name keep their turns; the reducer in files of one job

Now a call follows the last one on its name while that is out, and results are told in the order of the calls. An evicted silent connection tells what became of its calls; before, the customer's calls would have stayed out for good.

--- a/drill/src/host.rs
+++ b/drill/src/host.rs
@@ -122,10 +122,10 @@
     fn new(start: facts::Start) -> Instance {
         Instance {
             door: start.door,
-            doors: start.doors,
-            slot: start.slot,
-            operations: start.operations.len(),
-            plans: start.plans.len(),
+            doors: start.about.doors,
+            slot: start.about.slot,
+            operations: start.about.operations.len(),
+            plans: start.about.plans.len(),
             held: vec![],
             free: vec![],
             by_id: HashMap::new(),
--- /dev/null
+++ b/gateway/src/memory/backends.rs
@@ -0,0 +1,136 @@
+//! Deliveries to backends, and the connections that carry them.
+use super::event::{Conn, Effect, Why};
+use super::kept::*;
+use super::reducer::Reducer;
+use crate::wire::resp::{Answer, Reply};
+use quillramp::types::*;
+
+impl Reducer {
+    pub(super) fn deliver(&mut self, now: f64, inv: Inv, tgt: Tgt) {
+        let held = self.held[inv].as_mut().expect("asked about a held invocation");
+        let delivery = held.deliveries.len();
+        let id = self.places[tgt].idle.pop();
+        held.deliveries.push(Sent { tgt, at: now, link: id });
+        if held.ends.is_none() {
+            // Whoever is still out when the client's time is up timed out, and the decisions hear of it.
+            let (until, serial) = (held.ask.until, held.serial);
+            let ends = self.at(until, Due::GiveUp(inv, serial));
+            self.held[inv].as_mut().expect("held").ends = Some(ends);
+        }
+        if let Some(id) = id {
+            self.links.get_mut(&id).expect("idle ones are kept").carries.push_back(Some((inv, delivery)));
+            return self.write(now, id, inv);
+        }
+        self.room();
+        if self.short() {
+            return self.share(now, inv, delivery, tgt);
+        }
+        let Some(address) = self.places[tgt].address else {
+            return self.ended.push((inv, delivery, Ending::NotConnected, None));
+        };
+        let id = self.new_conn();
+        self.held[inv].as_mut().expect("held").deliveries[delivery].link = Some(id);
+        let carries = [Some((inv, delivery))].into();
+        self.links.insert(id, Link { tgt, up: false, carries, since: now });
+        self.effects.push(Effect::Connect(Conn::Backend(id), address));
+        self.at(now + self.about.dial_timeout, Due::Dial(id));
+    }
+
+    /// Descriptors run short: behind another delivery on a connection that is up.
+    pub(super) fn share(&mut self, now: f64, inv: Inv, delivery: usize, tgt: Tgt) {
+        let most = self.about.per_link;
+        let up = self.links.iter_mut().filter(|(_, l)| l.tgt == tgt && l.up && l.carries.len() < most);
+        let Some((&id, link)) = up.min_by_key(|(id, l)| (l.carries.len(), **id)) else {
+            return self.ended.push((inv, delivery, Ending::NotConnected, None));
+        };
+        link.carries.push_back(Some((inv, delivery)));
+        self.held[inv].as_mut().expect("held").deliveries[delivery].link = Some(id);
+        self.write(now, id, inv);
+    }
+
+    pub(super) fn write(&mut self, now: f64, id: u64, inv: Inv) {
+        let held = self.held[inv].as_ref().expect("held");
+        let wait = ((held.ask.until - now) * 1e3).max(1.0) as u64;
+        self.effects.push(Effect::Deliver(id, held.call.clone(), wait));
+    }
+
+    pub(super) fn up(&mut self, now: f64, id: u64) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.up = true;
+        let (tgt, carried) = (link.tgt, link.carries.front().copied().flatten());
+        let Some((inv, delivery)) = carried else { return self.rest(now, id) };
+        // It came up late: the invocation may be over by now, or its backend drain.
+        let open = self.held[inv].as_ref().is_some_and(|h| !h.closed && now < h.ask.until);
+        if open && self.places[tgt].standing == Standing::Ready {
+            return self.write(now, id, inv);
+        }
+        link.carries.clear();
+        self.end_delivery(inv, delivery, Ending::NotSent, None);
+        self.rest(now, id);
+    }
+
+    /// A link with nothing on it waits for the next delivery, or closes where none may come.
+    pub(super) fn rest(&mut self, now: f64, id: u64) {
+        let Some(link) = self.links.get_mut(&id).filter(|l| l.carries.is_empty()) else { return };
+        let tgt = link.tgt;
+        link.since = now;
+        if self.places[tgt].standing == Standing::Ready {
+            self.places[tgt].idle.push(id);
+        } else {
+            self.close(Conn::Backend(id), Why::Delisted);
+            self.links.remove(&id);
+        }
+    }
+
+    pub(super) fn replied(&mut self, now: f64, id: u64, reply: Reply) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let Some(front) = link.carries.pop_front() else { return };
+        if let Some((inv, delivery)) = front {
+            match reply {
+                Reply::Value { value, billed } => {
+                    self.answer(inv, Answer::Value(value));
+                    self.end_delivery(inv, delivery, Ending::Succeeded, billed);
+                }
+                Reply::TurnedAway => self.end_delivery(inv, delivery, Ending::TurnedAway, None),
+                Reply::Failed => self.end_delivery(inv, delivery, Ending::Errored, None),
+            }
+        }
+        self.rest(now, id);
+    }
+
+    pub(super) fn end_delivery(&mut self, inv: Inv, delivery: usize, ending: Ending, billed: Option<f64>) {
+        if let Some(held) = self.held[inv].as_mut() {
+            if held.deliveries[delivery].link.take().is_some() {
+                self.ended.push((inv, delivery, ending, billed));
+            }
+        }
+    }
+
+    /// A link broke or never came up: whatever had not left for it whole has not run.
+    pub(super) fn link_ended(&mut self, id: u64, unsent: bool) {
+        let Some(mut link) = self.links.remove(&id) else { return };
+        self.places[link.tgt].idle.retain(|i| *i != id);
+        let mut unsent = unsent || !link.up;
+        while let Some(last) = link.carries.pop_back() {
+            let ending = if unsent { Ending::NotConnected } else { Ending::Broken };
+            unsent = !link.up;
+            if let Some((inv, delivery)) = last {
+                self.end_delivery(inv, delivery, ending, None);
+            }
+        }
+    }
+
+    pub(super) fn give_up(&mut self, inv: Inv, delivery: usize, ending: Ending) {
+        let Some(held) = self.held[inv].as_mut() else { return };
+        let Some(id) = held.deliveries[delivery].link else { return };
+        self.end_delivery(inv, delivery, ending, None);
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let own = link.carries.iter_mut().find(|c| **c == Some((inv, delivery)));
+        own.map(Option::take);
+        // Others on it wait for their answers: its own is dropped in its turn.
+        if link.carries.iter().all(Option::is_none) {
+            self.close(Conn::Backend(id), Why::GaveUp);
+            self.links.remove(&id);
+        }
+    }
+}
--- a/gateway/src/memory/kept.rs
+++ b/gateway/src/memory/kept.rs
@@ -73,6 +73,13 @@
 /// A timer, by its time and number.
 pub type Timer = (u64, u64);
 
+/// A call of the counter, in its turn among those on the same name; its result if earlier ones are still out.
+pub struct Turn {
+    pub no: u64,
+    pub link: u64,
+    pub result: Option<Counted>,
+}
+
 /// What a timer is for.
 #[derive(Clone, Copy, Debug)]
 pub enum Due {
--- /dev/null
+++ b/gateway/src/memory/list.rs
@@ -0,0 +1,85 @@
+//! The list of backends: watched, and told to the decisions.
+use super::event::{Conn, Effect, Why};
+use super::kept::*;
+use super::reducer::Reducer;
+use crate::wire::http::{Request, Response};
+use crate::wire::listing::{self, Listing};
+use quillramp::types::*;
+
+/// How long a watch waits, and how much longer its answer may take.
+const WATCH: f64 = 20.0;
+const OVERRUN: f64 = 2.0;
+
+impl Reducer {
+    pub(super) fn listed(&mut self, now: f64, list: &Listing) {
+        self.index = list.index;
+        if list.snapshot {
+            self.places.iter_mut().for_each(|p| p.standing = Standing::Gone);
+        }
+        let mut entries = Vec::new();
+        for e in &list.endpoints {
+            let tgt = self.names.index(&e.name);
+            if tgt == self.places.len() {
+                self.places.push(Place::default());
+            }
+            (self.places[tgt].address, self.places[tgt].standing) = (Some(e.address), e.status);
+            let zone = self.about.zones.iter().position(|z| *z == e.zone).unwrap_or(self.about.zones.len());
+            let started = (e.since_ms > 0.0).then_some(e.since_ms / 1e3);
+            let (standing, cell, size) = (e.status, e.group, e.weight);
+            entries.push(Listed { tgt, standing, zone, cell, size, started });
+        }
+        self.door.listed(now, list.snapshot, &entries);
+        for tgt in 0..self.places.len() {
+            if self.places[tgt].standing != Standing::Ready {
+                for id in std::mem::take(&mut self.places[tgt].idle) {
+                    self.close(Conn::Backend(id), Why::Delisted);
+                    self.links.remove(&id);
+                }
+            }
+        }
+    }
+
+    pub(super) fn watch(&mut self, now: f64) {
+        let id = self.new_conn();
+        self.list = Some(id);
+        self.effects.push(Effect::Connect(Conn::List(id), self.parties.list));
+        self.watch_until(now, id);
+    }
+
+    pub(super) fn next_watch(&self) -> Request {
+        Request::Watch { since: self.index, wait_ms: (WATCH * 1e3) as u64 }
+    }
+
+    pub(super) fn watch_until(&mut self, now: f64, id: u64) {
+        self.timers.remove(&self.watch_ends);
+        self.watch_ends = self.at(now + WATCH + OVERRUN, Due::Watch(id));
+    }
+
+    pub(super) fn watched(&mut self, now: f64, id: u64, response: Response) {
+        let list = (response.status == 200).then(|| listing::decode(&response.body));
+        match list {
+            Some(Ok(list)) if !response.last => {
+                self.listed(now, &list);
+                self.effects.push(Effect::Request(Conn::List(id), self.next_watch()));
+                self.watch_until(now, id);
+            }
+            Some(Ok(list)) => {
+                self.listed(now, &list);
+                self.close(Conn::List(id), Why::Closed);
+                self.watch(now);
+            }
+            other => {
+                let why =
+                    other.and_then(Result::err).unwrap_or_else(|| format!("status {}", response.status));
+                self.effects.push(Effect::Log(format!("list service: {why}")));
+                self.close(Conn::List(id), Why::BadFraming);
+                self.watch_failed(now);
+            }
+        }
+    }
+
+    pub(super) fn watch_failed(&mut self, now: f64) {
+        self.list = None;
+        self.door.unlisted(now);
+    }
+}
--- a/gateway/src/memory/mod.rs
+++ b/gateway/src/memory/mod.rs
@@ -1,4 +1,11 @@
 //! What is kept, and the one reducer through which all of it changes. Nothing here touches a socket.
+//! `reducer` takes events in and asks the decisions; its other parts stand in a file each.
+mod backends;
+mod clients;
+mod counter;
 pub mod event;
 pub mod kept;
+mod list;
+mod peers;
 pub mod reducer;
+mod room;
--- a/gateway/tests/reducer.rs
+++ b/gateway/tests/reducer.rs
@@ -16,10 +16,14 @@
 }
 
 fn bench() -> Bench {
+    bench_with(1024)
+}
+
+fn bench_with(sockets: usize) -> Bench {
     let told = configuration::decode(TOLD.as_bytes()).expect("a good configuration");
     let start = quillramp::facts::start(told.seed, told.settings.get().as_bytes()).expect("good settings");
     let (peers, peers_all, counter, list) = (told.peers, told.peers_all, told.counter, told.discovery);
-    let parties = Parties { peers, peers_all, counter, list, sockets: told.limits.sockets };
+    let parties = Parties { peers, peers_all, counter, list, sockets };
     let reducer = Reducer::new(1000.0, start, parties, &told.known);
     let mut bench = Bench { reducer, now: 1000.0, text: String::new() };
     bench.settle();
@@ -221,6 +225,52 @@
     "#]]);
 }
 
+#[test]
+fn calls_on_one_name_have_their_turns_in_order() {
+    let mut b = bench();
+    b.client(1).event(Event::Up(Conn::List(1)));
+    for customer in [5, 6] {
+        b.call(1, "look", customer);
+    }
+    b.event(Event::Up(Conn::Counter(2))).event(Event::Up(Conn::Counter(3)));
+    // The other connection is free, but the lift of the first name is still out.
+    b.counter(3, 200, "1").counter(3, 200, "21").counter(2, 200, "1").call(1, "look", 5);
+    b.is(expect![[r#"
+        0.000 List(1): watch since 41
+        0.000 connect Counter(2) to 127.0.0.1:7007
+        0.000 connect Counter(3) to 127.0.0.1:7007
+        0.000 Counter(2): add 1
+        0.000 Counter(3): add 1
+        0.000 Counter(3): add 20
+        0.000 connect Backend(4) to 127.0.0.1:7012
+        0.000 Counter(2): add 20
+        0.000 connect Backend(5) to 127.0.0.1:7011
+        0.000 Counter(2): add 1
+    "#]]);
+}
+
+#[test]
+fn where_descriptors_run_short_idle_connections_go_first_and_then_deliveries_share() {
+    let mut b = bench_with(32 + 5);
+    b.client(1).client(2).call(1, "look", 5).until(0.05).up(3).value(3, "a").client(3);
+    b.call(1, "look", 6).until(0.1).call(1, "look", 7).until(0.15);
+    b.is(expect![[r#"
+        0.000 connect Counter(2) to 127.0.0.1:7007
+        0.016 connect Backend(3) to 127.0.0.1:7011
+        0.050 backend link 3: look for 750 ms
+        0.050 client 1: $1 a
+        0.050 log: connection backend 3 s-a ended: crowded
+        0.050 connect Counter(4) to 127.0.0.1:7007
+        0.066 log: connection client 2 ended: crowded
+        0.066 connect Backend(5) to 127.0.0.1:7011
+        0.080 log: connection counter 2 ended: dial-timeout
+        0.100 connect Counter(6) to 127.0.0.1:7007
+        0.116 log: connection client 3 ended: crowded
+        0.116 connect Backend(7) to 127.0.0.1:7012
+        0.130 log: connection counter 4 ended: dial-timeout
+    "#]]);
+}
+
 #[test]
 fn told_to_stop_it_serves_on_then_ends_connections_and_leaves_when_all_is_answered() {
     let mut b = bench();
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -67,6 +67,10 @@
 /// The decisions, ready to be asked, and what their caller needs to know itself.
 pub struct Start {
     pub door: Door,
+    pub about: About,
+}
+
+pub struct About {
     pub doors: usize,
     pub slot: usize,
     pub operations: Vec<String>,
@@ -132,8 +136,7 @@
     let hears = if told.caps.peers { told.extra.peer_intake } else { 0.0 };
     let doors = told.balancers.max(1);
     let door = Door::new((seed, doors as f64, hears, asks), (operations, plans), (rules, may), counter);
-    Ok(Start {
-        door,
+    let about = About {
         doors,
         slot: told.slot_no,
         longest_timeout: told.classes.iter().map(|c| c.give_up_us / 1e6).fold(0.0, f64::max),
@@ -145,5 +148,6 @@
         link_idle: told.caps.conn_idle_us / 1e6,
         per_link: told.caps.streams_per_conn.max(1),
         counter_timeout: told.extra.counter_timeout_us / 1e6,
-    })
+    };
+    Ok(Start { door, about })
 }
