--- a/gateway/src/sockets/drive.rs
+++ b/gateway/src/sockets/drive.rs
@@ -93,19 +93,24 @@
     }
 
     fn carry_out(&self, effect: Effect, batch: &mut Batch) {
-        let mut write = |conn: Conn, encode: &dyn Fn(&mut Vec<u8>)| {
+        let mut write = |conn: Conn, encode: &dyn Fn(&Link)| {
             if let Some(link) = self.links.0.borrow().get(&conn) {
-                encode(&mut link.out.borrow_mut());
+                encode(link);
                 batch.written.push(conn);
             }
         };
         match effect {
-            Effect::Answer(id, answer) => write(Conn::Client(id), &|out| answer.encode(out)),
-            Effect::Deliver(id, call, wait) => write(Conn::Backend(id), &|out| call.encode(wait, out)),
+            Effect::Answer(id, answer) => write(Conn::Client(id), &|link| {
+                answer.encode(&mut link.out.borrow_mut());
+                link.answered();
+            }),
+            Effect::Deliver(id, call, wait) => {
+                write(Conn::Backend(id), &|link| call.encode(wait, &mut link.out.borrow_mut()))
+            }
             Effect::Request(conn, request) => {
                 let host = if matches!(conn, Conn::Counter(_)) { self.counter } else { Some(self.list) };
                 let host = host.map_or(String::new(), |h| h.to_string());
-                write(conn, &|out| request.encode(&host, out));
+                write(conn, &|link| request.encode(&host, &mut link.out.borrow_mut()));
             }
             Effect::Connect(conn, to) => match Link::connect(conn, to, &self.common) {
                 Ok(link) => self.links.insert(conn, link),
--- a/gateway/src/sockets/link.rs
+++ b/gateway/src/sockets/link.rs
@@ -6,7 +6,7 @@
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 
 const READABLE: usize = 0x1 | 0x8 | 0x10 | 0x2000; // in, error, hang-up, the other side's end
@@ -15,8 +15,9 @@
 /// Buffers larger than this are not kept.
 const KEPT: usize = 16 * 1024;
 const SCRATCH: usize = 64 * 1024;
-/// So much may wait to be written before reading stops.
+/// So much may wait to be written, and so many of a client's commands for their answers, before reading stops.
 const UNREAD: usize = 1024 * 1024;
+const OWED: usize = 512;
 
 /// What all connections share.
 pub struct Common {
@@ -39,6 +40,8 @@
     stream: CoIo<TcpStream>,
     waker: WaitIoWaker,
     pub out: AtomicRefCell<Vec<u8>>,
+    /// A client's commands that have no answer yet.
+    owed: AtomicUsize,
     closed: AtomicBool,
     common: Arc<Common>,
 }
@@ -64,8 +67,8 @@
         stream.set_nodelay(true)?;
         let stream = CoIo::new(stream).map_err(|e| std::io::Error::other(format!("{e:?}")))?;
         let (waker, common) = (stream.waker(), common.clone());
-        let (out, closed) = (AtomicRefCell::default(), AtomicBool::new(false));
-        let link = Arc::new(Link { conn, stream, waker, out, closed, common });
+        let (out, owed, closed) = (AtomicRefCell::default(), AtomicUsize::new(0), AtomicBool::new(false));
+        let link = Arc::new(Link { conn, stream, waker, out, owed, closed, common });
         let own = link.clone();
         may::go!(move || own.serve(up));
         Ok(link)
@@ -103,6 +106,18 @@
         self.out.borrow().is_empty()
     }
 
+    /// A client's command has its answer: reading goes on if that was what it waited for.
+    pub fn answered(&self) {
+        if self.owed.fetch_sub(1, Ordering::Relaxed) == OWED {
+            self.waker.wakeup();
+        }
+    }
+
+    /// A client that reads no answers, or asks far ahead of them, is not read from either.
+    fn full(&self) -> bool {
+        self.out.borrow().len() > UNREAD || self.owed.load(Ordering::Relaxed) >= OWED
+    }
+
     /// Ends it from our side; what was written before leaves first.
     pub fn close(&self) {
         self.closed.store(true, Ordering::Relaxed);
@@ -136,14 +151,13 @@
                 }
                 deaf = true;
             }
-            // A client that reads no answers is not read from either.
-            let full = self.out.borrow().len() > UNREAD;
             unread |= flags & READABLE;
             let ended = unread & ENDED != 0;
-            if unread != 0 && (!full || ended) {
-                unread = 0;
-                if let Err(why) = self.read(ended, &mut got, &mut deaf) {
-                    return self.ended(why);
+            if unread != 0 && (!self.full() || ended) {
+                match self.read(ended, &mut got, &mut deaf) {
+                    Ok(true) => unread = 0,
+                    Ok(false) => {}
+                    Err(why) => return self.ended(why),
                 }
             }
         }
@@ -156,8 +170,9 @@
         }
     }
 
-    /// Reads all there is. A short read is the last one, unless the other side has ended.
-    fn read(&self, to_the_end: bool, got: &mut Vec<u8>, deaf: &mut bool) -> Result<(), Why> {
+    /// Reads all there is, or until it is full; true if that was all. A short read is the last one, unless the
+    /// other side has ended.
+    fn read(&self, to_the_end: bool, got: &mut Vec<u8>, deaf: &mut bool) -> Result<bool, Why> {
         let mut scratch = self.common.scratch.borrow_mut();
         loop {
             match self.stream.inner().read(&mut scratch) {
@@ -175,11 +190,11 @@
                     if got.is_empty() && got.capacity() > KEPT {
                         *got = Vec::new();
                     }
-                    if n < scratch.len() && !to_the_end {
-                        return Ok(());
+                    if !to_the_end && (n < scratch.len() || self.full()) {
+                        return Ok(n < scratch.len());
                     }
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(true),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return Err(Why::Reset),
             }
@@ -212,6 +227,9 @@
                 }
             };
             let Some((event, n)) = event else { return Ok(done) };
+            if matches!(event, Event::Command(..)) {
+                self.owed.fetch_add(1, Ordering::Relaxed);
+            }
             self.common.inbox.push(event);
             done += n;
         }
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -72,6 +72,10 @@
     text += &say(listen, &toy::invocation("order", 2900), 1);
     text += &say(listen, &toy::invocation("fail", 2900), 1);
     text += &say(listen, "PING\r\n", 2);
+    // Far ahead of its answers: they all come, in the end.
+    let ahead =
+        say(listen, &(toy::invocation("slow", 1400) + &"*1\r\n$4\r\nPING\r\n".repeat(20_000)), 20_001);
+    text += &format!("{} answers\n", ahead.lines().count());
     let pid = Pid::from_raw(i32::try_from(door.id()).expect("a process id"));
     kill(pid, Signal::SIGTERM).expect("it runs");
     sleep(Duration::from_millis(150));
@@ -89,9 +93,10 @@
         -ERR failed
         -ERR protocol: expected an array of bulk strings
 
+        20001 answers
         a look
         Some(0)
-        7 clients ended with a reason
+        8 clients ended with a reason
     "#]]
     .assert_eq(&text);
 }
