--- a/gateway/src/memory/backends.rs
+++ b/gateway/src/memory/backends.rs
@@ -92,7 +92,7 @@
                     self.end_delivery(inv, delivery, Ending::Succeeded, billed);
                 }
                 Reply::TurnedAway => self.end_delivery(inv, delivery, Ending::TurnedAway, None),
-                Reply::Failed => self.end_delivery(inv, delivery, Ending::Errored, None),
+                Reply::Errored => self.end_delivery(inv, delivery, Ending::Errored, None),
             }
         }
         self.rest(now, id);
--- a/gateway/src/sockets/link.rs
+++ b/gateway/src/sockets/link.rs
@@ -147,7 +147,7 @@
             if self.closed.load(Ordering::Relaxed) {
                 if self.flushed() || !matches!(self.conn, Conn::Client(_)) || flags & ENDED != 0 {
                     let _ = self.stream.inner().shutdown(Shutdown::Both);
-                    return;
+                    return self.out.borrow_mut().clear(); // nothing more leaves
                 }
                 deaf = true;
             }
@@ -168,6 +168,7 @@
             let unsent = !self.flushed();
             self.common.inbox.push(Event::Ended { conn: self.conn, why, unsent });
         }
+        self.out.borrow_mut().clear(); // nothing more leaves
     }
 
     /// Reads all there is, or until it is full; true if that was all. A short read is the last one, unless the
--- a/gateway/src/wire/resp.rs
+++ b/gateway/src/wire/resp.rs
@@ -61,7 +61,7 @@
 pub enum Reply {
     Value { value: Vec<u8>, billed: Option<f64> },
     TurnedAway,
-    Failed,
+    Errored,
 }
 
 /// What a client hears.
@@ -236,16 +236,16 @@
                 }
                 at = next;
             }
-            let reply = value.map_or(Reply::Failed, |value| Reply::Value { value, billed });
+            let reply = value.map_or(Reply::Errored, |value| Reply::Value { value, billed });
             Ok(Some((reply, at)))
         }
         Some(b'-') => {
             let Some((text, next)) = line(bytes, 0)? else { return Ok(None) };
             let busy = text.starts_with(b"-BUSY");
-            Ok(Some((if busy { Reply::TurnedAway } else { Reply::Failed }, next)))
+            Ok(Some((if busy { Reply::TurnedAway } else { Reply::Errored }, next)))
         }
-        Some(b'+' | b':') => Ok(line(bytes, 0)?.map(|(_, next)| (Reply::Failed, next))),
-        Some(b'$') => Ok(bulk(bytes, 0)?.map(|(_, next)| (Reply::Failed, next))),
+        Some(b'+' | b':') => Ok(line(bytes, 0)?.map(|(_, next)| (Reply::Errored, next))),
+        Some(b'$') => Ok(bulk(bytes, 0)?.map(|(_, next)| (Reply::Errored, next))),
         Some(_) => Err(Broken("unknown type of reply")),
     }
 }
--- a/gateway/tests/wire.rs
+++ b/gateway/tests/wire.rs
@@ -112,12 +112,12 @@
         Value { value: [118], billed: None } in 21 of 21 bytes
         Value { value: [118], billed: Some(2.5) } in 39 of 39 bytes
         Value { value: [], billed: Some(2.5) } in 41 of 41 bytes
-        Failed in 19 of 19 bytes
-        Failed in 5 of 5 bytes
-        Failed in 24 of 24 bytes
+        Errored in 19 of 19 bytes
+        Errored in 5 of 5 bytes
+        Errored in 24 of 24 bytes
         TurnedAway in 7 of 7 bytes
-        Failed in 5 of 5 bytes
-        Failed in 7 of 7 bytes
+        Errored in 5 of 5 bytes
+        Errored in 7 of 7 bytes
         after 1 bytes: Broken("unknown type of reply")
         "+PONG\r\n"
         "$4\r\na\r\nb\r\n"
