--- a/gateway/src/memory/peers.rs
+++ b/gateway/src/memory/peers.rs
@@ -39,7 +39,9 @@
                 }
             }
             Some(Said::Count { customer, plan, of, series, total })
-                if plan < self.about.plans.len() && of.first < self.about.doors =>
+                if plan < self.about.plans.len()
+                    && of.first < self.about.doors
+                    && of.number <= self.about.doors =>
             {
                 let name = CountName { customer: self.customers.index(&customer), series };
                 self.door.peer_word(now, Word::Count { name, plan, of, total });
--- a/gateway/tests/reducer.rs
+++ b/gateway/tests/reducer.rs
@@ -300,9 +300,14 @@
     b.event(Event::Datagram { from: peer, body: b"\x01s-a".to_vec() });
     b.event(Event::Datagram { from: stranger, body: b"\x01s-a".to_vec() });
     b.event(Event::Datagram { from: peer, body: vec![2; 300] });
+    // A count for more front doors than there are.
+    b.event(Event::Datagram { from: peer, body: [&[2, 5, 0, 0, 0, 0, 0, 0, 0, 9, 0][..], &[0; 8]].concat() });
+    b.event(Event::Datagram { from: peer, body: [&[2, 5, 0, 0, 0, 0, 0, 0, 0, 3, 0][..], &[0; 8]].concat() });
+    b.event(Event::Datagram { from: peer, body: vec![] });
     b.is(expect![[r#"
         0.000 log: datagrams dropped so far: 1
         0.000 log: datagrams dropped so far: 2
+        0.000 log: datagrams dropped so far: 4
     "#]]);
 }
 
