--- a/gateway/src/life/logger.rs
+++ b/gateway/src/life/logger.rs
@@ -26,9 +26,11 @@
             return;
         }
         let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
-        let line = format!("{at:.3} {} {}\n", record.level(), record.args());
+        let lost = self.lost.swap(0, Ordering::Relaxed);
+        let gap = if lost > 0 { format!("({lost} lines lost) ") } else { String::new() };
+        let line = format!("{at:.3} {} {gap}{}\n", record.level(), record.args());
         if let Err(TrySendError::Full(_)) = self.to.try_send(Note::Line(line)) {
-            self.lost.fetch_add(1, Ordering::Relaxed);
+            self.lost.fetch_add(lost + 1, Ordering::Relaxed);
         }
     }
     fn flush(&self) {
