Read again: dead serials gone, one way to close a link, one figure for a datagram

An invocation's timer is taken back when it is freed, so the serial that told an index used anew was never unequal. Behaviour and tests as before.

--- a/gateway/src/memory/backends.rs
+++ b/gateway/src/memory/backends.rs
@@ -13,8 +13,8 @@
         held.deliveries.push(Sent { tgt, at: now, link: id });
         if held.ends.is_none() {
             // Whoever is still out when the client's time is up timed out, and the decisions hear of it.
-            let (until, serial) = (held.ask.until, held.serial);
-            let ends = self.at(until, Due::GiveUp(inv, serial));
+            let until = held.ask.until;
+            let ends = self.at(until, Due::GiveUp(inv));
             self.held[inv].as_mut().expect("held").ends = Some(ends);
         }
         if let Some(id) = id {
@@ -77,8 +77,7 @@
         if self.places[tgt].standing == Standing::Ready {
             self.places[tgt].idle.push(id);
         } else {
-            self.close(Conn::Backend(id), Why::Delisted);
-            self.links.remove(&id);
+            self.close_link(id, Why::Delisted);
         }
     }
 
@@ -106,6 +105,12 @@
         }
     }
 
+    /// Ends a link that carries nothing any more.
+    pub(super) fn close_link(&mut self, id: u64, why: Why) {
+        self.close(Conn::Backend(id), why);
+        self.links.remove(&id);
+    }
+
     /// A link broke or never came up: whatever had not left for it whole has not run.
     pub(super) fn link_ended(&mut self, id: u64, unsent: bool) {
         let Some(mut link) = self.links.remove(&id) else { return };
@@ -129,8 +134,7 @@
         own.map(Option::take);
         // Others on it wait for their answers: its own is dropped in its turn.
         if link.carries.iter().all(Option::is_none) {
-            self.close(Conn::Backend(id), Why::GaveUp);
-            self.links.remove(&id);
+            self.close_link(id, Why::GaveUp);
         }
     }
 }
--- a/gateway/src/memory/clients.rs
+++ b/gateway/src/memory/clients.rs
@@ -41,10 +41,9 @@
     }
 
     pub(super) fn take(&mut self, now: f64, (client, command): (u64, u64), call: Call, ask: Ask) {
-        self.serials += 1;
-        let (serial, call) = (self.serials, Arc::new(call));
+        let call = Arc::new(call);
         let (deliveries, closed, ends) = (vec![], false, None);
-        let held = Held { ask, call, client, command, serial, deliveries, closed, ends };
+        let held = Held { ask, call, client, command, deliveries, closed, ends };
         let inv = self.free.pop().unwrap_or_else(|| {
             self.held.push(None);
             self.held.len() - 1
--- a/gateway/src/memory/kept.rs
+++ b/gateway/src/memory/kept.rs
@@ -19,7 +19,6 @@
     pub client: u64,
     /// Which of the client's commands it is.
     pub command: u64,
-    pub serial: u64,
     pub deliveries: Vec<Sent>,
     pub closed: bool,
     /// The timer at which what is still out has timed out, from the first delivery on.
@@ -84,7 +83,7 @@
 #[derive(Clone, Copy, Debug)]
 pub enum Due {
     Dial(u64),
-    GiveUp(Inv, u64),
+    GiveUp(Inv),
     Counter(u64, u64),
     Watch(u64),
     Sweep,
--- a/gateway/src/memory/list.rs
+++ b/gateway/src/memory/list.rs
@@ -32,8 +32,7 @@
         for tgt in 0..self.places.len() {
             if self.places[tgt].standing != Standing::Ready {
                 for id in std::mem::take(&mut self.places[tgt].idle) {
-                    self.close(Conn::Backend(id), Why::Delisted);
-                    self.links.remove(&id);
+                    self.close_link(id, Why::Delisted);
                 }
             }
         }
--- a/gateway/src/memory/peers.rs
+++ b/gateway/src/memory/peers.rs
@@ -5,9 +5,6 @@
 use quillramp::word::{self, Said};
 use std::net::SocketAddr;
 
-/// The longest datagram.
-const DATAGRAM: usize = 256;
-
 impl Reducer {
     pub(super) fn tell(&mut self, word: Word) {
         match word {
@@ -30,7 +27,7 @@
     }
 
     pub(super) fn heard(&mut self, now: f64, from: SocketAddr, body: &[u8]) {
-        let known = self.parties.peers.contains(&from) && body.len() <= DATAGRAM;
+        let known = self.parties.peers.contains(&from) && body.len() <= word::LONGEST;
         match word::decode(body).filter(|_| known) {
             Some(Said::Backend(name)) => {
                 let name = std::str::from_utf8(&name).ok();
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -30,7 +30,6 @@
     pub(super) parties: Parties,
     pub(super) held: Vec<Option<Held>>,
     pub(super) free: Vec<Inv>,
-    pub(super) serials: u64,
     pub(super) customers: Ids<u64>,
     pub(super) names: Ids<String>,
     pub(super) places: Vec<Place>,
@@ -61,7 +60,6 @@
             parties,
             held: vec![],
             free: vec![],
-            serials: 0,
             customers: Ids::default(),
             names: Ids::default(),
             places: vec![],
@@ -86,7 +84,7 @@
         if !new.about.asks {
             new.watch(now);
         }
-        new.at(now + new.about.link_idle / 8.0, Due::Sweep);
+        new.sweep(now);
         new
     }
 
@@ -167,9 +165,9 @@
                     self.link_ended(id, true);
                 }
             }
-            Due::GiveUp(inv, serial) => {
-                let held = self.held[inv].as_ref().filter(|h| h.serial == serial);
-                let out = held.map_or(0, |h| h.deliveries.len());
+            // The timer goes with the invocation, so the index is still its own.
+            Due::GiveUp(inv) => {
+                let out = self.held[inv].as_ref().map_or(0, |h| h.deliveries.len());
                 for i in 0..out {
                     self.give_up(inv, i, Ending::TimedOut);
                 }
@@ -181,10 +179,7 @@
                     self.watch_failed(now);
                 }
             }
-            Due::Sweep => {
-                self.sweep(now);
-                self.at(now + self.about.link_idle / 8.0, Due::Sweep);
-            }
+            Due::Sweep => self.sweep(now),
             Due::Leave => self.leave(),
             Due::Exit => self.effects.push(Effect::ExitNow),
         }
--- a/gateway/src/memory/room.rs
+++ b/gateway/src/memory/room.rs
@@ -30,9 +30,7 @@
         if let Some(id) = idle.min_by(|a, b| self.links[a].since.total_cmp(&self.links[b].since)) {
             let tgt = self.links[&id].tgt;
             self.places[tgt].idle.retain(|i| *i != id);
-            self.close(Conn::Backend(id), Why::Crowded);
-            self.links.remove(&id);
-            return;
+            return self.close_link(id, Why::Crowded);
         }
         let idle = self.clients.iter().filter(|(_, c)| c.owed.is_empty());
         if let Some(id) = idle.min_by(|a, b| a.1.used.total_cmp(&b.1.used)).map(|(id, _)| *id) {
@@ -41,7 +39,7 @@
         }
     }
 
-    /// Connections that stood idle for half of what the other side allows end here, not there.
+    /// Connections that stood idle for half of what the other side allows end here, not there. Done again and again.
     pub(super) fn sweep(&mut self, now: f64) {
         let old = now - self.about.link_idle / 2.0;
         for tgt in 0..self.places.len() {
@@ -50,8 +48,7 @@
             self.places[tgt].idle = idle;
             let stale: Vec<u64> = stale;
             for id in stale {
-                self.close(Conn::Backend(id), Why::Idle);
-                self.links.remove(&id);
+                self.close_link(id, Why::Idle);
             }
         }
         let stale = |l: &CounterLink| l.calls.is_empty() && l.waits.is_empty();
@@ -61,5 +58,6 @@
             self.close(Conn::Counter(id), Why::Idle);
             self.counters.remove(&id);
         }
+        self.at(now + self.about.link_idle / 8.0, Due::Sweep);
     }
 }
--- a/gateway/src/sockets/link.rs
+++ b/gateway/src/sockets/link.rs
@@ -11,6 +11,7 @@
 
 const READABLE: usize = 0x1 | 0x8 | 0x10 | 0x2000; // in, error, hang-up, the other side's end
 const WRITABLE: usize = 0x4;
+const IN_PROGRESS: i32 = nix::errno::Errno::EINPROGRESS as i32;
 const ENDED: usize = 0x8 | 0x10 | 0x2000;
 /// Buffers larger than this are not kept.
 const KEPT: usize = 16 * 1024;
@@ -236,5 +237,3 @@
         }
     }
 }
-
-const IN_PROGRESS: i32 = nix::errno::Errno::EINPROGRESS as i32;
--- a/gateway/src/sockets/peers.rs
+++ b/gateway/src/sockets/peers.rs
@@ -2,11 +2,12 @@
 use super::inbox::Inbox;
 use crate::memory::event::Event;
 use may::io::{CoIo, WaitIo};
+use quillramp::word;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 
 /// One byte more than a datagram may have, so that longer ones are known.
-const ROOM: usize = 257;
+const ROOM: usize = word::LONGEST + 1;
 
 pub struct Peers(CoIo<UdpSocket>);
 
--- a/src/word.rs
+++ b/src/word.rs
@@ -8,6 +8,9 @@
     Count { customer: u64, plan: usize, of: Doors, series: u32, total: f64 },
 }
 
+/// The longest that a datagram may be.
+pub const LONGEST: usize = 256;
+
 const BACKEND: u8 = 1;
 const COUNT: u8 = 2;
 const COUNT_BYTES: usize = 19;
