--- a/drill/src/host.rs
+++ b/drill/src/host.rs
@@ -2,7 +2,7 @@
 use crate::frame::{Batch, Malformed, Record, Reply};
 use quillramp::decide::Door;
 use quillramp::facts;
-use quillramp::ids::Ids;
+use quillramp::ids::{Ids, Slots};
 use quillramp::types::*;
 use quillramp::word::{self, Said};
 use std::collections::{BTreeMap, HashMap};
@@ -24,8 +24,7 @@
     slot: usize,
     operations: usize,
     plans: usize,
-    held: Vec<Option<Held>>,
-    free: Vec<usize>,
+    held: Slots<Held>,
     by_id: HashMap<u32, usize>,
     backends: Ids<[u8; 6]>,
     customers: Ids<u64>,
@@ -126,8 +125,7 @@
             slot: start.about.slot,
             operations: start.about.operations.len(),
             plans: start.about.plans.len(),
-            held: vec![],
-            free: vec![],
+            held: Slots::default(),
             by_id: HashMap::new(),
             backends: Ids::default(),
             customers: Ids::default(),
@@ -186,12 +184,8 @@
         let until = now + r.seconds(9);
         let of = Doors { first: r.f32(5) as usize, number: r.f32(29) as usize };
         let ask = Ask { operation, plan, customer, units, of, until };
-        let inv = self.free.pop().unwrap_or_else(|| {
-            self.held.push(None);
-            self.held.len() - 1
-        });
         let id = r.u32(1);
-        self.held[inv] = Some(Held { id, ask, out: 0, sent: 0, closed: false });
+        let inv = self.held.put(Held { id, ask, out: 0, sent: 0, closed: false });
         self.by_id.insert(id, inv);
         let answer = self.door.place(now, inv, &ask);
         self.carry_out(inv, answer, reply);
@@ -285,9 +279,8 @@
 
     fn release(&mut self, inv: Inv) {
         if self.held[inv].as_ref().is_some_and(|h| h.closed && h.out == 0) {
-            let held = self.held[inv].take().expect("checked");
+            let held = self.held.release(inv).expect("checked");
             self.by_id.remove(&held.id);
-            self.free.push(inv);
         }
     }
 
--- a/gateway/src/memory/clients.rs
+++ b/gateway/src/memory/clients.rs
@@ -43,12 +43,7 @@
     pub(super) fn take(&mut self, now: f64, (client, command): (u64, u64), call: Call, ask: Ask) {
         let call = Arc::new(call);
         let (deliveries, closed, ends) = (vec![], false, None);
-        let held = Held { ask, call, client, command, deliveries, closed, ends };
-        let inv = self.free.pop().unwrap_or_else(|| {
-            self.held.push(None);
-            self.held.len() - 1
-        });
-        self.held[inv] = Some(held);
+        let inv = self.held.put(Held { ask, call, client, command, deliveries, closed, ends });
         self.clients.get_mut(&client).expect("checked").owed.push_back((Some(inv), None));
         self.place(now, inv);
     }
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -6,7 +6,7 @@
 use crate::wire::resp::Answer;
 use quillramp::decide::Door;
 use quillramp::facts::{About, Start};
-use quillramp::ids::Ids;
+use quillramp::ids::{Ids, Slots};
 use quillramp::types::*;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -28,8 +28,7 @@
     pub(super) door: Door,
     pub(super) about: About,
     pub(super) parties: Parties,
-    pub(super) held: Vec<Option<Held>>,
-    pub(super) free: Vec<Inv>,
+    pub(super) held: Slots<Held>,
     pub(super) customers: Ids<u64>,
     pub(super) names: Ids<String>,
     pub(super) places: Vec<Place>,
@@ -58,8 +57,7 @@
             door,
             about,
             parties,
-            held: vec![],
-            free: vec![],
+            held: Slots::default(),
             customers: Ids::default(),
             names: Ids::default(),
             places: vec![],
@@ -264,8 +262,7 @@
         let Some(held) = self.held[inv].as_ref().filter(|h| h.closed && !h.out()) else { return };
         if !self.ended.iter().any(|e| e.0 == inv) {
             held.ends.map(|key| self.timers.remove(&key));
-            self.held[inv] = None;
-            self.free.push(inv);
+            self.held.release(inv);
         }
     }
 
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -1,16 +1,59 @@
-//! Outside names, as small indices: an index is free again once it is released.
+//! Small indices: for what is held, and for outside names. An index is free again once it is released.
+use std::borrow::Borrow;
 use std::collections::HashMap;
 use std::hash::Hash;
+use std::ops::{Index, IndexMut};
 
-pub struct Ids<K> {
-    names: Vec<Option<K>>,
+/// Things by index; none where nothing is held.
+pub struct Slots<T> {
+    held: Vec<Option<T>>,
     free: Vec<usize>,
+}
+
+impl<T> Default for Slots<T> {
+    fn default() -> Self {
+        Slots { held: vec![], free: vec![] }
+    }
+}
+
+impl<T> Slots<T> {
+    pub fn put(&mut self, thing: T) -> usize {
+        let i = self.free.pop().unwrap_or_else(|| {
+            self.held.push(None);
+            self.held.len() - 1
+        });
+        self.held[i] = Some(thing);
+        i
+    }
+    pub fn release(&mut self, i: usize) -> Option<T> {
+        let thing = self.held.get_mut(i)?.take()?;
+        self.free.push(i);
+        Some(thing)
+    }
+}
+
+impl<T> Index<usize> for Slots<T> {
+    type Output = Option<T>;
+    fn index(&self, i: usize) -> &Option<T> {
+        &self.held[i]
+    }
+}
+
+impl<T> IndexMut<usize> for Slots<T> {
+    fn index_mut(&mut self, i: usize) -> &mut Option<T> {
+        &mut self.held[i]
+    }
+}
+
+/// Outside names by index.
+pub struct Ids<K> {
+    names: Slots<K>,
     by_name: HashMap<K, usize>,
 }
 
 impl<K> Default for Ids<K> {
     fn default() -> Self {
-        Ids { names: vec![], free: vec![], by_name: HashMap::new() }
+        Ids { names: Slots::default(), by_name: HashMap::new() }
     }
 }
 
@@ -20,27 +63,22 @@
         if let Some(&i) = self.by_name.get(name) {
             return i;
         }
-        let i = self.free.pop().unwrap_or_else(|| {
-            self.names.push(None);
-            self.names.len() - 1
-        });
-        self.names[i] = Some(name.clone());
+        let i = self.names.put(name.clone());
         self.by_name.insert(name.clone(), i);
         i
     }
     pub fn find<Q: Hash + Eq + ?Sized>(&self, name: &Q) -> Option<usize>
     where
-        K: std::borrow::Borrow<Q>,
+        K: Borrow<Q>,
     {
         self.by_name.get(name).copied()
     }
     pub fn name(&self, i: usize) -> Option<&K> {
-        self.names.get(i)?.as_ref()
+        self.names.held.get(i)?.as_ref()
     }
     pub fn release(&mut self, i: usize) {
-        if let Some(name) = self.names.get_mut(i).and_then(Option::take) {
+        if let Some(name) = self.names.release(i) {
             self.by_name.remove(&name);
-            self.free.push(i);
         }
     }
 }
