SIGHUP reads the configuration again and moves the list and the counter over

Checked: logs end without a line at the signal; no handler was registered for it (life/stop.rs, signals()). The file is read on the main thread and told as an event. The reducer asks the new list service for the whole list and sends new counter calls to the new address; calls that are out finish on their old connection.

--- a/gateway/src/life/mod.rs
+++ b/gateway/src/life/mod.rs
@@ -1,4 +1,4 @@
-//! Start and stop: the configuration, the log, the signal to end.
+//! Start and stop: the configuration, the log, the signals.
 pub mod configuration;
 pub mod logger;
-pub mod stop;
+pub mod signals;
--- /dev/null
+++ b/gateway/src/life/signals.rs
@@ -0,0 +1,27 @@
+//! Signals, told to the front door from the main thread: SIGTERM (or SIGINT, from a terminal) to end, SIGHUP to
+//! read the configuration again.
+use super::configuration::{self, Told};
+use crate::memory::event::Event;
+use crate::sockets::inbox::Inbox;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::sync::Arc;
+
+pub fn signals() -> Result<Signals, String> {
+    Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))
+}
+
+/// Waits on the main thread, which may read files; the service's own thread ends the process.
+pub fn wait(mut signals: Signals, inbox: Arc<Inbox>) -> ! {
+    for signal in signals.forever() {
+        if signal != SIGHUP {
+            inbox.tell(Event::Stop);
+            continue;
+        }
+        match configuration::read() {
+            Ok(Told { discovery, counter, .. }) => inbox.tell(Event::Moved { list: discovery, counter }),
+            Err(why) => log::error!("configuration not taken up, the old one stays in force: {why}"),
+        }
+    }
+    unreachable!("signals never end");
+}
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,5 +1,5 @@
-//! quillramp: starts the front door; the main thread then waits for the signal to end.
-use quillramp_gateway::life::{configuration, logger, stop};
+//! quillramp: starts the front door; the main thread then waits for signals.
+use quillramp_gateway::life::{configuration, logger, signals};
 use quillramp_gateway::memory::reducer::{Parties, Reducer};
 use quillramp_gateway::sockets::{accept, clock::Clock, drive::Driver, drive::Links, inbox::Inbox};
 use quillramp_gateway::sockets::{link::Common, peers::Peers};
@@ -20,7 +20,7 @@
     }));
     let told = configuration::read()?;
     let start = quillramp::facts::start(told.seed, told.settings.get().as_bytes())?;
-    let signals = stop::signals()?;
+    let waiting = signals::signals()?;
     may::config().set_workers(1).set_stack_size(STACK).set_worker_pin(false);
 
     let inbox = Arc::new(Inbox::new()?);
@@ -39,14 +39,13 @@
         sockets: told.limits.sockets,
     };
     let reducer = Reducer::new(clock.now(), start, parties, &told.known);
-    let (counter, list) = (told.counter, told.discovery);
     let (common_too, links_too, stop_too) = (common.clone(), links.clone(), stop_accepting.clone());
-    let driver = Driver { clock, common, links, peers, stop_accepting, counter, list };
+    let driver = Driver { clock, common, links, peers, stop_accepting };
     let builder = may::coroutine::Builder::new().stack_size(DRIVER_STACK);
     may::go!(builder, move || driver.run(reducer)).map_err(|e| e.to_string())?;
     accept::start(listener, links_too, common_too, stop_too)?;
     log::info!("{} serves at {}", told.name, told.listen);
-    stop::wait(signals, inbox)
+    signals::wait(waiting, inbox)
 }
 
 fn main() -> ExitCode {
--- a/gateway/src/memory/counter.rs
+++ b/gateway/src/memory/counter.rs
@@ -35,15 +35,20 @@
     /// The connection for a call: that of the last one on the same name, while it is out, so that they have their
     /// turns in order; else the least used; else a new one.
     fn counter_link(&mut self, now: f64, name: CountName, address: SocketAddr) -> u64 {
-        let well = |id: &u64| self.counters.get(id).is_some_and(|l| !l.silent);
+        let well = |l: &CounterLink| !l.silent && !l.old;
         let turns = self.turns.get(&(name.customer, name.series));
-        if let Some(id) = turns.and_then(|t| t.back()).map(|t| t.link).filter(well) {
+        if let Some(id) =
+            turns.and_then(|t| t.back()).map(|t| t.link).filter(|id| self.counters.get(id).is_some_and(well))
+        {
             return id;
         }
-        let well = self.counters.iter().filter(|(_, l)| !l.silent);
-        let best = well.min_by_key(|(id, l)| (l.calls.len() + l.waits.len(), **id));
+        let best = self
+            .counters
+            .iter()
+            .filter(|(_, l)| well(l))
+            .min_by_key(|(id, l)| (l.calls.len() + l.waits.len(), **id));
         let (best, load) = best.map_or((None, 0), |(id, l)| (Some(*id), l.calls.len() + l.waits.len()));
-        let pipes = self.counters.values().filter(|l| !l.silent).count();
+        let pipes = self.counters.values().filter(|l| well(l)).count();
         if let Some(id) = best.filter(|_| load == 0 || pipes >= PIPES) {
             return id;
         }
@@ -126,6 +131,23 @@
             self.close(Conn::Counter(id), Why::Closed);
             self.counter_ended(now, id, false);
         }
+        self.leave_old(id);
+    }
+
+    /// The counter is elsewhere now: what is out may still be answered, the next calls go there.
+    pub(super) fn counter_moved(&mut self) {
+        self.counters.values_mut().for_each(|l| l.old = true);
+        for id in self.counters.keys().copied().collect::<Vec<_>>() {
+            self.leave_old(id);
+        }
+    }
+
+    fn leave_old(&mut self, id: u64) {
+        let done = |l: &CounterLink| l.old && l.calls.is_empty() && l.waits.is_empty();
+        if self.counters.get(&id).is_some_and(done) {
+            self.close(Conn::Counter(id), Why::Moved);
+            self.counters.remove(&id);
+        }
     }
 
     pub(super) fn counter_ended(&mut self, now: f64, id: u64, unsent: bool) {
--- a/gateway/src/memory/event.rs
+++ b/gateway/src/memory/event.rs
@@ -32,6 +32,8 @@
     Silent,
     /// Descriptors ran short.
     Crowded,
+    /// The configuration names another address now.
+    Moved,
     Stopping,
 }
 
@@ -48,6 +50,7 @@
             Why::Delisted => "delisted",
             Why::Silent => "silent",
             Why::Crowded => "crowded",
+            Why::Moved => "moved",
             Why::Stopping => "stopping",
         }
     }
@@ -73,6 +76,11 @@
     },
     /// Accepting found no descriptor left.
     Crowded,
+    /// The configuration was read again: where the list service and the counter are now.
+    Moved {
+        list: SocketAddr,
+        counter: Option<SocketAddr>,
+    },
     Stop,
 }
 
--- a/gateway/src/memory/kept.rs
+++ b/gateway/src/memory/kept.rs
@@ -66,6 +66,8 @@
     pub waits: Vec<(CounterCall, u64, Timer)>,
     /// A call on it went unanswered past its time, and nothing came since.
     pub silent: bool,
+    /// The counter has moved: nothing new goes on it.
+    pub old: bool,
     pub used: f64,
 }
 
--- a/gateway/src/memory/list.rs
+++ b/gateway/src/memory/list.rs
@@ -12,7 +12,7 @@
 
 impl Reducer {
     pub(super) fn listed(&mut self, now: f64, list: &Listing) {
-        self.index = list.index;
+        self.index = Some(list.index);
         if list.snapshot {
             self.places.iter_mut().for_each(|p| p.standing = Standing::Gone);
         }
@@ -45,8 +45,18 @@
         self.watch_until(now, id);
     }
 
+    /// The list service is elsewhere now: all of what it has there, then watched on.
+    pub(super) fn list_moved(&mut self, now: f64) {
+        if let Some(old) = self.list.take() {
+            self.close(Conn::List(old), Why::Moved);
+        }
+        self.index = None;
+        self.watch(now);
+    }
+
     pub(super) fn next_watch(&self) -> Request {
-        Request::Watch { since: self.index, wait_ms: (WATCH * 1e3) as u64 }
+        let wait_ms = (WATCH * 1e3) as u64;
+        self.index.map_or(Request::List, |since| Request::Watch { since, wait_ms })
     }
 
     pub(super) fn watch_until(&mut self, now: f64, id: u64) {
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -39,7 +39,8 @@
     pub(super) counter_calls: u64,
     pub(super) list: Option<u64>,
     pub(super) watch_ends: Timer,
-    pub(super) index: u64,
+    /// The version of the list that is known here; none where it was another service's.
+    pub(super) index: Option<u64>,
     pub(super) conns: u64,
     pub(super) timers: BTreeMap<Timer, Due>,
     pub(super) timer_no: u64,
@@ -68,7 +69,7 @@
             counter_calls: 0,
             list: None,
             watch_ends: (0, 0),
-            index: 0,
+            index: None,
             conns: 0,
             timers: BTreeMap::new(),
             timer_no: 0,
@@ -118,6 +119,16 @@
             }
             Event::Datagram { from, body } => self.heard(now, from, &body),
             Event::Crowded => self.make_room(),
+            Event::Moved { list, counter } => {
+                let say = format!("configuration read again: list service at {list}, counter at {counter:?}");
+                self.effects.push(Effect::Log(say));
+                if std::mem::replace(&mut self.parties.list, list) != list {
+                    self.list_moved(now);
+                }
+                if std::mem::replace(&mut self.parties.counter, counter) != counter {
+                    self.counter_moved();
+                }
+            }
             Event::Stop => self.stop(now),
         }
         self.conclude(now);
--- a/gateway/src/sockets/accept.rs
+++ b/gateway/src/sockets/accept.rs
@@ -38,10 +38,10 @@
         let last = stop.load(Ordering::Relaxed);
         loop {
             match listener.inner().accept() {
-                Ok((stream, _)) => {
+                Ok((stream, from)) => {
                     next += 1;
                     let conn = Conn::Client(next);
-                    match Link::start(conn, stream, true, common) {
+                    match Link::start((conn, from), stream, true, common) {
                         Ok(link) => {
                             links.insert(conn, link);
                             common.inbox.push(Event::Accepted(next));
--- a/gateway/src/sockets/drive.rs
+++ b/gateway/src/sockets/drive.rs
@@ -6,7 +6,6 @@
 use crate::memory::reducer::Reducer;
 use atomic_refcell::AtomicRefCell;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
@@ -40,8 +39,6 @@
     pub links: Arc<Links>,
     pub peers: Option<Arc<Peers>>,
     pub stop_accepting: Arc<AtomicBool>,
-    pub counter: Option<SocketAddr>,
-    pub list: SocketAddr,
 }
 
 impl Driver {
@@ -108,9 +105,7 @@
                 write(Conn::Backend(id), &|link| call.encode(wait, &mut link.out.borrow_mut()))
             }
             Effect::Request(conn, request) => {
-                let host = if matches!(conn, Conn::Counter(_)) { self.counter } else { Some(self.list) };
-                let host = host.map_or(String::new(), |h| h.to_string());
-                write(conn, &|link| request.encode(&host, &mut link.out.borrow_mut()));
+                write(conn, &|link| request.encode(link.to, &mut link.out.borrow_mut()))
             }
             Effect::Connect(conn, to) => match Link::connect(conn, to, &self.common) {
                 Ok(link) => self.links.insert(conn, link),
--- a/gateway/src/sockets/inbox.rs
+++ b/gateway/src/sockets/inbox.rs
@@ -4,7 +4,7 @@
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use nix::sys::timerfd::{ClockId, Expiration, TimerFd, TimerFlags, TimerSetTimeFlags};
 use std::os::fd::{AsFd, AsRawFd, RawFd};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Mutex;
 use std::time::Duration;
 
 struct Alarm(TimerFd);
@@ -17,7 +17,8 @@
 
 pub struct Inbox {
     events: AtomicRefCell<Vec<Event>>,
-    told_to_stop: AtomicBool,
+    /// From other threads. The worker takes them where it need not wait; it is woken once they are free.
+    told: Mutex<Vec<Event>>,
     alarm: CoIo<Alarm>,
     waker: WaitIoWaker,
 }
@@ -28,7 +29,7 @@
         let alarm = TimerFd::new(ClockId::CLOCK_MONOTONIC, flags).map_err(|e| format!("alarm: {e}"))?;
         let alarm = CoIo::new(Alarm(alarm)).map_err(|e| format!("alarm: {e:?}"))?;
         let waker = alarm.waker();
-        Ok(Inbox { events: AtomicRefCell::default(), told_to_stop: AtomicBool::new(false), alarm, waker })
+        Ok(Inbox { events: AtomicRefCell::default(), told: Mutex::default(), alarm, waker })
     }
 
     /// From the worker's own coroutines only. The first event wakes the reducer, after all that are ready.
@@ -41,8 +42,8 @@
     }
 
     /// From any thread.
-    pub fn stop(&self) {
-        self.told_to_stop.store(true, Ordering::Release);
+    pub fn tell(&self, event: Event) {
+        self.told.lock().unwrap_or_else(|e| e.into_inner()).push(event);
         self.waker.wakeup();
     }
 
@@ -52,8 +53,8 @@
         // Setting it anew clears what it would have us read.
         let rang = self.alarm.wait_io() & READABLE != 0;
         std::mem::swap(&mut *self.events.borrow_mut(), into);
-        if self.told_to_stop.swap(false, Ordering::Acquire) {
-            into.push(Event::Stop);
+        if let Ok(mut told) = self.told.try_lock() {
+            into.append(&mut told);
         }
         rang
     }
--- a/gateway/src/sockets/link.rs
+++ b/gateway/src/sockets/link.rs
@@ -38,6 +38,8 @@
 
 pub struct Link {
     conn: Conn,
+    /// The other side.
+    pub to: SocketAddr,
     stream: CoIo<TcpStream>,
     waker: WaitIoWaker,
     pub out: AtomicRefCell<Vec<u8>>,
@@ -60,7 +62,7 @@
 impl Link {
     /// Takes up a connection, made or in the making, and starts its coroutine.
     pub fn start(
-        conn: Conn,
+        (conn, to): (Conn, SocketAddr),
         stream: TcpStream,
         up: bool,
         common: &Arc<Common>,
@@ -69,7 +71,7 @@
         let stream = CoIo::new(stream).map_err(|e| std::io::Error::other(format!("{e:?}")))?;
         let (waker, common) = (stream.waker(), common.clone());
         let (out, owed, closed) = (AtomicRefCell::default(), AtomicUsize::new(0), AtomicBool::new(false));
-        let link = Arc::new(Link { conn, stream, waker, out, owed, closed, common });
+        let link = Arc::new(Link { conn, to, stream, waker, out, owed, closed, common });
         let own = link.clone();
         may::go!(move || own.serve(up));
         Ok(link)
@@ -81,7 +83,7 @@
         socket.set_nonblocking(true)?;
         match socket.connect(&to.into()) {
             Err(e) if e.kind() != ErrorKind::WouldBlock && e.raw_os_error() != Some(IN_PROGRESS) => Err(e),
-            _ => Link::start(conn, socket.into(), false, common),
+            _ => Link::start((conn, to), socket.into(), false, common),
         }
     }
 
--- a/gateway/src/wire/http.rs
+++ b/gateway/src/wire/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1, as far as the counter and the list service speak it: requests out, whole responses in.
 use super::{Broken, Decoded};
+use std::net::SocketAddr;
 
 const HEAD: usize = 8 * 1024;
 const BODY: usize = 4 * 1024 * 1024;
@@ -15,12 +16,21 @@
 /// What is asked of the counter and of the list service.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Request {
-    Count { name: String, add: f64, lives_ms: u64 },
-    Watch { since: u64, wait_ms: u64 },
+    Count {
+        name: String,
+        add: f64,
+        lives_ms: u64,
+    },
+    Watch {
+        since: u64,
+        wait_ms: u64,
+    },
+    /// The whole list, at once.
+    List,
 }
 
 impl Request {
-    pub fn encode(&self, host: &str, out: &mut Vec<u8>) {
+    pub fn encode(&self, host: SocketAddr, out: &mut Vec<u8>) {
         let text = match self {
             Request::Count { name, add, lives_ms } => {
                 format!(
@@ -33,6 +43,7 @@
                     "GET /v1/endpoints?since={since}&timeout_ms={wait_ms} HTTP/1.1\r\nHost: {host}\r\n\r\n"
                 )
             }
+            Request::List => format!("GET /v1/endpoints HTTP/1.1\r\nHost: {host}\r\n\r\n"),
         };
         out.extend_from_slice(text.as_bytes());
     }
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -59,7 +59,7 @@
     let told =
         told.replace("127.0.0.1:7402", &counter_at.to_string()).replace("127.0.0.1:7403", "127.0.0.1:0");
     let good = folder.join("good.json");
-    std::fs::write(&good, told).expect("a file");
+    std::fs::write(&good, &told).expect("a file");
     let mut door = start(&good);
     let from = Instant::now();
     while TcpStream::connect(listen).is_err() && from.elapsed() < Duration::from_secs(10) {
@@ -77,12 +77,21 @@
         say(listen, &(toy::invocation("slow", 1400) + &"*1\r\n$4\r\nPING\r\n".repeat(20_000)), 20_001);
     text += &format!("{} answers\n", ahead.lines().count());
     let pid = Pid::from_raw(i32::try_from(door.id()).expect("a process id"));
+    // Read again: what can't be read leaves the old one in force, and what can moves list and counter over.
+    for told in ["{", &told.replace(&counter_at.to_string(), "127.0.0.1:1")] {
+        std::fs::write(&good, told).expect("a file");
+        kill(pid, Signal::SIGHUP).expect("it runs");
+        sleep(Duration::from_millis(100));
+        text += &say(listen, &toy::invocation("look", 1000), 1);
+    }
     kill(pid, Signal::SIGTERM).expect("it runs");
     sleep(Duration::from_millis(150));
     text += &say(listen, &toy::invocation("look", 1000), 1);
     text += &format!("{:?}\n", door.wait().expect("it ends").code());
     let mut log = String::new();
     door.stderr.take().expect("piped").read_to_string(&mut log).expect("text");
+    let again = log.lines().filter(|l| l.contains("configuration")).map(|l| l.split(' ').nth(3));
+    text += &format!("{:?}\n", again.collect::<Vec<_>>());
     text += &format!("{} clients ended with a reason\n", log.matches("connection client").count());
     expect![[r#"
         Some(1): quillramp: FILE: invalid type: integer `3`, expected a string at line 1 column 10
@@ -95,8 +104,11 @@
 
         20001 answers
         a look
+        a look
+        a look
         Some(0)
-        8 clients ended with a reason
+        [Some("not"), Some("read")]
+        10 clients ended with a reason
     "#]]
     .assert_eq(&text);
 }
--- a/gateway/tests/reducer.rs
+++ b/gateway/tests/reducer.rs
@@ -43,6 +43,7 @@
         }
         Effect::Request(conn, Request::Count { add, .. }) => format!("{conn:?}: add {add}"),
         Effect::Request(conn, Request::Watch { since, .. }) => format!("{conn:?}: watch since {since}"),
+        Effect::Request(conn, Request::List) => format!("{conn:?}: list"),
         Effect::Connect(conn, to) => format!("connect {conn:?} to {to}"),
         Effect::Datagram(to, body) => format!("datagram of {} to {to}", body.len()),
         Effect::Close(_) => return None, // its log line tells
@@ -325,3 +326,33 @@
         0.050 log: connection client 1 ended: bad-framing
     "#]]);
 }
+
+/// Guards: a configuration read again under load moves the list and the counter over and ends no invocation.
+#[test]
+fn the_list_and_the_counter_move_under_load() {
+    let mut b = bench();
+    b.client(1).event(Event::Up(Conn::List(1))).call(1, "look", 5).event(Event::Up(Conn::Counter(2)));
+    let (list, counter) = ("127.0.0.1:8006".parse().expect("address"), "127.0.0.1:8007".parse().ok());
+    b.event(Event::Moved { list, counter }).event(Event::Up(Conn::List(3)));
+    b.call(1, "look", 6).event(Event::Up(Conn::Counter(4))).counter(2, 200, "1").up(6).value(6, "served");
+    let whole = r#"{"index":3,"snapshot":true,"endpoints":[]}"#;
+    b.event(Event::Response(Conn::List(3), Response { status: 200, body: whole.into(), last: false }));
+    b.is(expect![[r#"
+        0.000 List(1): watch since 41
+        0.000 connect Counter(2) to 127.0.0.1:7007
+        0.000 Counter(2): add 1
+        0.000 log: configuration read again: list service at 127.0.0.1:8006, counter at Some(127.0.0.1:8007)
+        0.000 log: connection list 1 ended: moved
+        0.000 connect List(3) to 127.0.0.1:8006
+        0.000 List(3): list
+        0.000 connect Counter(4) to 127.0.0.1:8007
+        0.000 Counter(4): add 1
+        0.000 log: connection counter 2 ended: moved
+        0.000 connect Counter(5) to 127.0.0.1:8007
+        0.000 connect Backend(6) to 127.0.0.1:7012
+        0.000 backend link 6: look for 799 ms
+        0.000 client 1: $6 served
+        0.000 log: connection backend 6 s-b ended: delisted
+        0.000 List(3): watch since 3
+    "#]]);
+}
--- a/gateway/tests/wire.rs
+++ b/gateway/tests/wire.rs
@@ -151,8 +151,10 @@
         all += &response(message);
     }
     let mut out = vec![];
-    Request::Count { name: "5.1".into(), add: -2.5, lives_ms: 45000 }.encode("h", &mut out);
-    Request::Watch { since: 41, wait_ms: 20000 }.encode("h", &mut out);
+    let host = "127.0.0.1:80".parse().expect("an address");
+    Request::Count { name: "5.1".into(), add: -2.5, lives_ms: 45000 }.encode(host, &mut out);
+    Request::Watch { since: 41, wait_ms: 20000 }.encode(host, &mut out);
+    Request::List.encode(host, &mut out);
     all += &String::from_utf8_lossy(&out).replace("\r\n", "|");
     expect![[r#"
         200 "12.5" in 42 of 42 bytes
@@ -161,7 +163,7 @@
         after 19 bytes: Broken("response without a length")
         Broken("body too long")
         after 1 bytes: Broken("no HTTP")
-        POST /counters/5.1?by=-2.5&expire_ms=45000 HTTP/1.1|Host: h|Content-Length: 0||GET /v1/endpoints?since=41&timeout_ms=20000 HTTP/1.1|Host: h||"#]].assert_eq(&all);
+        POST /counters/5.1?by=-2.5&expire_ms=45000 HTTP/1.1|Host: 127.0.0.1:80|Content-Length: 0||GET /v1/endpoints?since=41&timeout_ms=20000 HTTP/1.1|Host: 127.0.0.1:80||GET /v1/endpoints HTTP/1.1|Host: 127.0.0.1:80||"#]].assert_eq(&all);
 }
 
 #[test]
