A counter that is never quick is given its time before a call is missed

Ruled out: 503s, lost calls, descriptors (no NotConnected among the refusals' causes). At fault: DEADLINE alone (0.04 of the objective, 16 ms) told a crowded counter in place() and quota().

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,7 +17,7 @@
 const BATCH: f64 = 1.0 / 16.0; // of the burst, taken at once while more than half of the store is there
 const SPILL: f64 = 1.0 / 8.0; // of the burst: smaller lags of the count are left alone
 const WORTH: f64 = 0.5; // units: what is less waits for the next call
-const DEADLINE: f64 = 0.04; // of the latency objective: the longest wait for the counter
+const DEADLINE: (f64, f64) = (0.04, 3.0); // longest wait for the counter: of the objective, of its quickest
 const MISSES: u32 = 4; // calls past the deadline, none answered since: the counter is silent
 const RECALL: f64 = 0.25; // a silent counter is read this often
 const PACE: (f64, f64, f64) = (20.0, 400.0, 1200.0); // counter calls a second, all doors: least, first, most
@@ -86,6 +86,7 @@
     repeats: f64,
     misses: u32,
     heard: f64,
+    quick: f64, // the counter's quickest answer of late
     silent: bool,
     recall: f64,
     woke: f64,
@@ -115,7 +116,7 @@
         #[rustfmt::skip]
         let mut door = Door {
             rng, doors, hears, operations, plans, rules, may, counter, high, repeats, pace, asked: 1.0,
-            calls: pace * PACE_SPAN.0, hard, woke, half, base, ..Door::default()
+            calls: pace * PACE_SPAN.0, hard, woke, half, base, quick: woke, ..Door::default()
         };
         if asks {
             door.ring(0.0, Bell::List);
@@ -138,10 +139,7 @@
             let old = self.backends.remove(&is.tgt);
             let (out, owes) = old.as_ref().map_or((0, 0.0), |b| (b.out, b.owes));
             let b = old.filter(|b| b.is.started == is.started).map(|b| Backend { is, ..b });
-            let proven = vec![(now, 0); self.hard.len()];
-            let (high, quiet_since, good_at, known) = (1.0, now, now, now);
-            let new =
-                Backend { is, out, owes, high, quiet_since, good_at, known, proven, ..Backend::default() };
+            let new = Backend { out, owes, ..Backend::new(now, is, self.hard.len()) };
             self.backends.insert(is.tgt, b.unwrap_or(new));
         }
     }
@@ -201,7 +199,8 @@
         self.awake(now);
         if !self.invs.contains_key(&inv) {
             let most = self.counter.map_or(0.0, |c| c.timeout).min((ask.until - now) / 4.0);
-            let counter_until = now + most.min(DEADLINE * self.operations[ask.operation].latency_objective);
+            let least = DEADLINE.0 * self.operations[ask.operation].latency_objective;
+            let counter_until = now + most.min(least.max(DEADLINE.1 * self.quick));
             let (ask, came, luck, last) = (*ask, now, self.chance(), ask.until - ANSWER_BY);
             self.invs.insert(inv, Invocation { ask, came, last, luck, counter_until, ..Default::default() });
             self.ring(counter_until, Bell::Inv(inv));
@@ -436,7 +435,7 @@
             }
             if self.silent && now >= self.recall && idle && self.counter.is_some() {
                 self.recall = now + RECALL;
-                self.call(customer, series, (0.0, 0.0), Errand::Return);
+                self.call(now, (customer, series), (0.0, 0.0), Errand::Return);
             } else if past && !self.silent && !idle {
                 self.missed(now);
             }
@@ -452,13 +451,13 @@
         drift(&mut self.asked, true);
         (a.settle, a.sliced) = (0.0, 0.0);
         a.waiting.push(inv);
-        self.call(customer, series, (units + owed, owed), Errand::Lease { units });
+        self.call(now, (customer, series), (units + owed, owed), Errand::Lease { units });
         Some(Verdict::NotYet)
     }
 
-    fn call(&mut self, customer: Customer, series: u32, (add, paid): (f64, f64), what: Errand) {
+    fn call(&mut self, now: f64, (customer, series): (Customer, u32), (add, paid): (f64, f64), what: Errand) {
         let calls = &mut self.accounts.get_mut(&customer).expect("has an account").calls;
-        calls.push_back(Call { series, add, paid, what });
+        calls.push_back(Call { series, sent: now, add, paid, what });
         self.calls -= 1.0;
         let name = CountName { customer, series };
         self.errands.counter.push(CounterCall { name, add, lives: 1.5 * WINDOW });
@@ -467,10 +466,11 @@
     /// An answered call: right the count where it lags or was lifted twice, keep what fits, return the rest.
     fn credit(&mut self, now: f64, name: CountName, call: &Call, total: f64) {
         self.heard(now);
+        self.quick = (self.quick * (1.0 + DRIFT)).min(now - call.sent);
         let a = self.accounts.get_mut(&name.customer).expect("has calls");
         let p = &self.plans[a.plan];
         self.again.append(&mut a.waiting);
-        let current = a.series == call.series;
+        let (current, whose) = (a.series == call.series, (name.customer, call.series));
         let regained = p.rate * (now - f64::from(call.series) * WINDOW).max(0.0);
         let before = total - call.add;
         // What the count must have stood at: at least what the store regained; and, where it is new or was
@@ -500,10 +500,10 @@
             self.tell(now, word, doors);
         }
         if lift > small || lift > WORTH && lost {
-            self.call(name.customer, call.series, (lift, 0.0), Errand::Lift { level: level + call.add });
+            self.call(now, whose, (lift, 0.0), Errand::Lift { level: level + call.add });
         }
         if back > WORTH {
-            self.call(name.customer, call.series, (-back, -back), Errand::Return);
+            self.call(now, whose, (-back, -back), Errand::Return);
         }
         self.look_after(name.customer, now + LAPSE);
     }
@@ -547,7 +547,7 @@
         let free = !self.silent && self.calls >= plenty(self.pace);
         if lapsed && quiet && add.abs() > WORTH && free && self.counter.is_some() {
             (a.settle, a.sliced) = (0.0, 0.0);
-            self.call(customer, series, (add, add), Errand::Return);
+            self.call(now, (customer, series), (add, add), Errand::Return);
         } else if now >= a.used + IDLE && quiet && !self.invs.values().any(|v| v.ask.customer == customer) {
             self.accounts.remove(&customer);
             self.idle.push(customer);
@@ -557,8 +557,8 @@
 
     fn heard(&mut self, now: f64) {
         if self.silent {
-            let gap = now - self.heard;
-            self.errands.log.push(format!("counter answers again after {gap:.2} s; leases resume"));
+            let line = format!("counter answers again after {:.2} s; leases resume", now - self.heard);
+            self.errands.log.push(line);
             self.pace /= 4.0; // no herd back to it
         }
         (self.silent, self.misses, self.heard) = (false, 0, now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -40,6 +40,7 @@
 
 pub struct Call {
     pub series: u32,
+    pub sent: f64,
     pub add: f64,
     pub paid: f64, // of it, what was owed
     pub what: Errand,
@@ -101,6 +102,11 @@
 }
 
 impl Backend {
+    /// One that is just known of, with so many kinds to prove.
+    pub fn new(now: f64, is: Listed, kinds: usize) -> Backend {
+        let (quiet_since, good_at, known, proven) = (now, now, now, vec![(now, 0); kinds]);
+        Backend { is, high: 1.0, quiet_since, good_at, known, proven, ..Backend::default() }
+    }
     /// How often on end it has done well for this kind, if it was last seen after then.
     pub fn streak(&self, kind: usize, then: f64) -> u32 {
         let (at, times) = self.proven[kind];
