Commands are held to the settings; a client that stops in mid-command is let go

Checked: what backends answered with an error (probe): units=0, and non-idempotent operations by CALL.GET. At fault: call() in wire/resp.rs and ask() in memory/clients.rs. Unfinished commands had no time limit and no common bound.

--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Result, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::Duration;
@@ -118,7 +119,8 @@
         if matches!(operation, "look" | "slow") { ("CALL.GET", "") } else { ("CALL.POST", "$4\r\nbody\r\n") };
     let list = format!("c={operation},t=small,d={wait_ms},units=1,spread=1,first=0");
     let words = if body.is_empty() { 4 } else { 5 };
-    let (customer, id) = ("0000000000000005", "9b1f03aa5c7e2d41");
+    static ID: AtomicU64 = AtomicU64::new(1);
+    let (customer, id) = ("0000000000000005", format!("{:016x}", ID.fetch_add(1, Ordering::Relaxed)));
     format!(
         "*{words}\r\n${}\r\n{verb}\r\n$16\r\n{customer}\r\n$16\r\n{id}\r\n${}\r\n{list}\r\n{body}",
         verb.len(),
--- a/gateway/src/life/configuration.rs
+++ b/gateway/src/life/configuration.rs
@@ -26,6 +26,7 @@
 
 #[derive(Deserialize)]
 pub struct Limits {
+    pub memory_mb: usize,
     pub sockets: usize,
 }
 
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -24,7 +24,7 @@
     may::config().set_workers(1).set_stack_size(STACK).set_worker_pin(false);
 
     let inbox = Arc::new(Inbox::new()?);
-    let common = Common::new(inbox.clone());
+    let common = Common::new(inbox.clone(), told.limits.memory_mb << 20);
     let links = Arc::new(Links::default());
     let stop_accepting = Arc::new(AtomicBool::new(false));
     let listener = accept::listen(told.listen).map_err(|e| format!("{}: {e}", told.listen))?;
--- a/gateway/src/memory/clients.rs
+++ b/gateway/src/memory/clients.rs
@@ -3,13 +3,14 @@
 use super::kept::*;
 use super::reducer::Reducer;
 use crate::wire::resp::{Answer, Call, Command};
+use quillramp::facts::{About, Offered};
 use quillramp::types::*;
 use std::sync::Arc;
 
 impl Reducer {
     pub(super) fn command(&mut self, now: f64, id: u64, command: Command) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        (client.used, client.said) = (now, true);
+        (client.used, client.said, client.half) = (now, true, false);
         let no = client.first + client.owed.len() as u64;
         let answer = match command {
             Command::Ping => Answer::Pong,
@@ -28,12 +29,29 @@
     }
 
     pub(super) fn ask(&mut self, now: f64, call: &Call) -> Result<Ask, String> {
-        let place = |names: &[String], name: &[u8]| names.iter().position(|n| n.as_bytes() == name);
-        let operation = place(&self.about.operations, call.operation()).ok_or("unknown operation")?;
-        let plan = place(&self.about.plans, call.plan()).ok_or("unknown plan")?;
-        if call.first >= self.about.doors || call.spread > self.about.doors {
+        let About { operations, plans, doors, most_units, .. } = &self.about;
+        let operation = operations.iter().position(|o| o.name.as_bytes() == call.operation());
+        let operation = operation.ok_or("unknown operation")?;
+        let plan = plans.iter().position(|p| p.as_bytes() == call.plan()).ok_or("unknown plan")?;
+        let Offered { idempotent, timeout, .. } = operations[operation];
+        if call.get != idempotent {
+            return Err(
+                "not by this command: CALL.GET is for what may be repeated, CALL.POST for all else".into()
+            );
+        }
+        if call.first >= *doors || !(1..=*doors).contains(&call.spread) {
             return Err("first and spread: no such front doors".into());
         }
+        if call.units <= 0.0 || call.units > *most_units {
+            return Err(format!("units: expected more than 0, and {most_units} at the most"));
+        }
+        let longest = (timeout * 1e3).ceil();
+        if call.wait < 1.0 || call.wait > longest {
+            return Err(format!("d: expected 1 to {longest} ms"));
+        }
+        if self.open.contains(&call.id) {
+            return Err("id: an invocation under it is open".into());
+        }
         let customer = self.customers.index(&call.customer);
         let of = Doors { first: call.first, number: call.spread };
         let until = now + call.wait / 1e3;
@@ -42,6 +60,7 @@
 
     pub(super) fn take(&mut self, now: f64, (client, command): (u64, u64), call: Call, ask: Ask) {
         let call = Arc::new(call);
+        self.open.insert(call.id);
         let (deliveries, closed, ends) = (vec![], false, None);
         let inv = self.held.put(Held { ask, call, client, command, deliveries, closed, ends });
         self.clients.get_mut(&client).expect("checked").owed.push_back((Some(inv), None));
--- a/gateway/src/memory/event.rs
+++ b/gateway/src/memory/event.rs
@@ -30,6 +30,8 @@
     Delisted,
     /// It said nothing for too long.
     Silent,
+    /// It brought what nobody asked for.
+    Surplus,
     /// Descriptors ran short.
     Crowded,
     /// The configuration names another address now.
@@ -49,6 +51,7 @@
             Why::GaveUp => "gave-up",
             Why::Delisted => "delisted",
             Why::Silent => "silent",
+            Why::Surplus => "surplus",
             Why::Crowded => "crowded",
             Why::Moved => "moved",
             Why::Stopping => "stopping",
@@ -62,6 +65,8 @@
     Command(u64, Command),
     Reply(u64, Reply),
     Response(Conn, Response),
+    /// The beginning of a message has come, and not yet the rest.
+    Partial(Conn),
     /// A connection that was asked for is up.
     Up(Conn),
     /// A connection ended that nobody here closed; `unsent`: not all that was written to it has left.
--- a/gateway/src/memory/kept.rs
+++ b/gateway/src/memory/kept.rs
@@ -40,6 +40,8 @@
     pub used: f64,
     /// It has said something.
     pub said: bool,
+    /// It has begun a command that is not whole.
+    pub half: bool,
     /// Its framing broke: it closes once all is answered.
     pub broken: bool,
 }
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -8,7 +8,7 @@
 use quillramp::facts::{About, Start};
 use quillramp::ids::{Ids, Slots};
 use quillramp::types::*;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 /// How long clients keep coming after SIGTERM, and the least that the kill leaves for a long invocation.
@@ -29,6 +29,8 @@
     pub(super) about: About,
     pub(super) parties: Parties,
     pub(super) held: Slots<Held>,
+    /// The ids of what is held.
+    pub(super) open: HashSet<u64>,
     pub(super) customers: Ids<u64>,
     pub(super) names: Ids<String>,
     pub(super) places: Vec<Place>,
@@ -59,6 +61,7 @@
             about,
             parties,
             held: Slots::default(),
+            open: HashSet::new(),
             customers: Ids::default(),
             names: Ids::default(),
             places: vec![],
@@ -102,6 +105,10 @@
             Event::Response(Conn::Counter(id), r) => self.counted(now, id, r),
             Event::Response(Conn::List(id), r) if self.list == Some(id) => self.watched(now, id, r),
             Event::Response(..) => {}
+            Event::Partial(Conn::Client(id)) => {
+                self.clients.entry(id).and_modify(|c| c.half = true);
+            }
+            Event::Partial(_) => {}
             Event::Up(Conn::Backend(id)) => self.up(now, id),
             Event::Up(Conn::Counter(id)) => self.counter_up(id),
             Event::Up(conn) => {
@@ -273,6 +280,7 @@
         let Some(held) = self.held[inv].as_ref().filter(|h| h.closed && !h.out()) else { return };
         if !self.ended.iter().any(|e| e.0 == inv) {
             held.ends.map(|key| self.timers.remove(&key));
+            self.open.remove(&held.call.id);
             self.held.release(inv);
         }
     }
--- a/gateway/src/memory/room.rs
+++ b/gateway/src/memory/room.rs
@@ -7,11 +7,11 @@
 const RESERVE: usize = 32;
 /// The counter closes idle connections after this, at the latest.
 const COUNTER_IDLE: f64 = 10.0;
-/// A client that has said nothing for this long, and is owed nothing, may be let go; it is at once if it never said
-/// anything or if descriptors run short, else after the longer time.
+/// A client that has said nothing for this long, and is owed nothing, may be let go; it is if it never said
+/// anything, stopped in mid-command or descriptors run short, else after the longer time.
 const CLIENT_IDLE: (f64, f64) = (2.0, 10.0);
 /// A client that is just connected may need so long to say something.
-const ARRIVING: f64 = 0.25;
+const ARRIVING: f64 = 0.05;
 /// How often it is looked for what stands idle.
 const LOOK: f64 = 0.5;
 
@@ -64,7 +64,7 @@
     /// nothing are let go. Done again and again.
     pub(super) fn sweep(&mut self, now: f64) {
         let crowded = 2 * self.descriptors() > self.parties.sockets;
-        let long = |c: &Client| if c.said && !crowded { CLIENT_IDLE.1 } else { CLIENT_IDLE.0 };
+        let long = |c: &Client| if c.said && !c.half && !crowded { CLIENT_IDLE.1 } else { CLIENT_IDLE.0 };
         let idle = self.clients.iter().filter(|(_, c)| c.owed.is_empty() && c.used < now - long(c));
         let mut idle: Vec<u64> = idle.map(|(id, _)| *id).collect();
         idle.sort_unstable();
--- a/gateway/src/sockets/link.rs
+++ b/gateway/src/sockets/link.rs
@@ -19,20 +19,30 @@
 /// So much may wait to be written, and so many of a client's commands for their answers, before reading stops.
 const UNREAD: usize = 1024 * 1024;
 const OWED: usize = 512;
+/// The part of the memory that clients' unfinished commands may take.
+const HALF: usize = 8;
 
 /// What all connections share.
 pub struct Common {
     pub inbox: Arc<Inbox>,
     scratch: AtomicRefCell<Vec<u8>>,
+    /// How many bytes of clients' unfinished commands are kept, and how many may be; and how many may wait to be
+    /// written to one connection before it is not read from any more.
+    half: AtomicUsize,
+    most_half: usize,
+    unread: usize,
     /// Accepting waits for a descriptor.
     pub short: AtomicBool,
     pub acceptor: AtomicRefCell<Option<WaitIoWaker>>,
 }
 
 impl Common {
-    pub fn new(inbox: Arc<Inbox>) -> Arc<Common> {
+    /// With so many bytes of memory.
+    pub fn new(inbox: Arc<Inbox>, memory: usize) -> Arc<Common> {
         let scratch = AtomicRefCell::new(vec![0; SCRATCH]);
-        Arc::new(Common { inbox, scratch, short: AtomicBool::new(false), acceptor: AtomicRefCell::default() })
+        let (half, most_half, unread) = (AtomicUsize::new(0), memory / HALF, UNREAD.min(memory / HALF / 16));
+        let (short, acceptor) = (AtomicBool::new(false), AtomicRefCell::default());
+        Arc::new(Common { inbox, scratch, half, most_half, unread, short, acceptor })
     }
 }
 
@@ -118,7 +128,7 @@
 
     /// A client that reads no answers, or asks far ahead of them, is not read from either.
     fn full(&self) -> bool {
-        self.out.borrow().len() > UNREAD || self.owed.load(Ordering::Relaxed) >= OWED
+        self.out.borrow().len() > self.common.unread || self.owed.load(Ordering::Relaxed) >= OWED
     }
 
     /// Ends it from our side; what was written before leaves first.
@@ -128,8 +138,23 @@
         self.waker.wakeup();
     }
 
-    fn serve(&self, mut up: bool) {
+    fn serve(&self, up: bool) {
         let mut got = Vec::new();
+        self.read_on(up, &mut got);
+        self.keep(got.len(), 0);
+    }
+
+    /// Counts what is kept of an unfinished command; false if that is too much for all clients together.
+    fn keep(&self, before: usize, now: usize) -> bool {
+        if !matches!(self.conn, Conn::Client(_)) {
+            return true;
+        }
+        let kept = self.common.half.load(Ordering::Relaxed) + now - before;
+        self.common.half.store(kept, Ordering::Relaxed);
+        now <= before || kept <= self.common.most_half
+    }
+
+    fn read_on(&self, mut up: bool, got: &mut Vec<u8>) {
         let mut deaf = false;
         let mut unread = 0;
         loop {
@@ -157,7 +182,7 @@
             unread |= flags & READABLE;
             let ended = unread & ENDED != 0;
             if unread != 0 && (!self.full() || ended) {
-                match self.read(ended, &mut got, &mut deaf) {
+                match self.read(ended, got, &mut deaf) {
                     Ok(true) => unread = 0,
                     Ok(false) => {}
                     Err(why) => return self.ended(why),
@@ -183,6 +208,7 @@
                 Ok(0) => return Err(Why::Closed),
                 Ok(_) if *deaf => {}
                 Ok(n) => {
+                    let before = got.len();
                     if got.is_empty() {
                         let done = self.decode(&scratch[..n], deaf)?;
                         got.extend_from_slice(&scratch[done..n]);
@@ -191,6 +217,13 @@
                         let done = self.decode(got, deaf)?;
                         got.drain(..done);
                     }
+                    if !self.keep(before, got.len()) {
+                        self.broken("too much unfinished", deaf);
+                    }
+                    if *deaf {
+                        self.keep(got.len(), 0);
+                        got.clear();
+                    }
                     if got.is_empty() && got.capacity() > KEPT {
                         *got = Vec::new();
                     }
@@ -217,8 +250,8 @@
                 Conn::Client(id) => match resp::command(rest) {
                     Ok(m) => m.map(|(m, n)| (Event::Command(id, m), n)),
                     Err(Broken(why)) => {
-                        *deaf = true;
-                        Some((Event::Command(id, resp::Command::Broken(why)), rest.len()))
+                        self.broken(why, deaf);
+                        return Ok(bytes.len());
                     }
                 },
                 Conn::Backend(id) => {
@@ -230,12 +263,26 @@
                     m.map(|(m, n)| (Event::Response(conn, m), n))
                 }
             };
-            let Some((event, n)) = event else { return Ok(done) };
-            if matches!(event, Event::Command(..)) {
-                self.owed.fetch_add(1, Ordering::Relaxed);
-            }
-            self.common.inbox.push(event);
+            let Some((event, n)) = event else {
+                self.tell(Event::Partial(self.conn));
+                return Ok(done);
+            };
+            self.tell(event);
             done += n;
         }
     }
+
+    fn tell(&self, event: Event) {
+        if matches!(event, Event::Command(..)) {
+            self.owed.fetch_add(1, Ordering::Relaxed);
+        }
+        self.common.inbox.push(event);
+    }
+
+    /// Nothing more of what this client says is understood.
+    fn broken(&self, why: &'static str, deaf: &mut bool) {
+        if let (Conn::Client(id), false) = (self.conn, std::mem::replace(deaf, true)) {
+            self.tell(Event::Command(id, resp::Command::Broken(why)));
+        }
+    }
 }
--- a/gateway/src/wire/resp.rs
+++ b/gateway/src/wire/resp.rs
@@ -12,7 +12,10 @@
 /// An invocation as a client wrote it. The message passes on as it came, but for the time left.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Call {
+    /// By the command for what may be repeated freely.
+    pub get: bool,
     pub customer: u64,
+    pub id: u64,
     pub units: f64,
     pub first: usize,
     pub spread: usize,
@@ -165,7 +168,7 @@
     let command = if is("PING") {
         Command::Ping
     } else if is("CALL.GET") && n == 4 || is("CALL.POST") && n == 5 {
-        match call(&bytes[..at], word(1), heads[3], words[3].clone()) {
+        match call(&bytes[..at], (n == 4, word(1), word(2)), heads[3], words[3].clone()) {
             Ok(call) => Command::Call(Box::new(call)),
             Err(why) => Command::Wrong(why),
         }
@@ -177,41 +180,68 @@
     Ok(Some((command, at)))
 }
 
-fn call(raw: &[u8], customer: &[u8], head: usize, names: Range<usize>) -> Result<Call, String> {
-    let text = |b: &[u8]| std::str::from_utf8(b).map(str::to_owned).map_err(|_| "not UTF-8".to_string());
-    let customer = u64::from_str_radix(&text(customer)?, 16).ok().filter(|c| *c < 1 << 33);
-    let customer = customer.ok_or("customer: expected hex digits below 2^33")?;
+/// Sixteen hex digits.
+fn hex(word: &[u8]) -> Option<u64> {
+    let digits = word.len() == 16 && word.iter().all(u8::is_ascii_hexdigit);
+    std::str::from_utf8(word).ok().filter(|_| digits).and_then(|t| u64::from_str_radix(t, 16).ok())
+}
+
+/// A plain decimal number: no sign, no exponent, no name of a number.
+fn decimal(word: &[u8]) -> Option<f64> {
+    let plain = word.iter().all(|b| b.is_ascii_digit() || *b == b'.');
+    std::str::from_utf8(word).ok().filter(|_| plain).and_then(|t| t.parse().ok())
+}
+
+fn call(
+    raw: &[u8],
+    (get, customer, id): (bool, &[u8], &[u8]),
+    head: usize,
+    names: Range<usize>,
+) -> Result<Call, String> {
+    let customer = hex(customer).filter(|c| *c < 1 << 33);
+    let customer = customer.ok_or("customer: expected 16 hex digits, below 2^33")?;
+    let id = hex(id).ok_or("id: expected 16 hex digits")?;
     let (mut operation, mut plan, mut d) = (None, None, None);
-    let (mut units, mut first, mut spread) = (1.0, 0.0, 1.0);
+    let (mut units, mut first, mut spread) = (None, None, None);
     let mut at = names.start;
     for pair in raw[names.clone()].split(|b| *b == b',') {
         let equals = pair.iter().position(|b| *b == b'=').ok_or("expected name=value")?;
         let value = at + equals + 1..at + pair.len();
-        let amount = |what: &str, most: f64| -> Result<f64, String> {
-            let n = text(&raw[value.clone()])?.parse::<f64>().ok();
-            let n = n.filter(|n| (0.0..=most).contains(n));
-            n.ok_or_else(|| format!("{what}: expected a number from 0 to {most}"))
+        let amount = || decimal(&raw[value.clone()]).map(|n| (n, value.clone()));
+        let (place, found) = match &pair[..equals] {
+            b"c" => (&mut operation, Some((0.0, value))),
+            b"t" => (&mut plan, Some((0.0, value))),
+            b"d" => (&mut d, amount()),
+            b"units" => (&mut units, amount()),
+            b"spread" => (&mut spread, amount()),
+            b"first" => (&mut first, amount()),
+            _ => {
+                at += pair.len() + 1;
+                continue;
+            }
         };
-        match &pair[..equals] {
-            b"c" => operation = Some(value),
-            b"t" => plan = Some(value),
-            b"d" => d = Some((amount("d", 86_400_000.0)?, value)),
-            b"units" => units = amount("units", 1e6)?,
-            b"spread" => spread = amount("spread", 65_535.0)?,
-            b"first" => first = amount("first", 65_535.0)?,
-            _ => {}
+        let what = || String::from_utf8_lossy(&pair[..equals]).into_owned();
+        if place.is_some() {
+            return Err(format!("{} stands there twice", what()));
         }
+        *place = Some(found.ok_or_else(|| format!("{}: expected a number", what()))?);
         at += pair.len() + 1;
     }
+    let whole = |n: Option<(f64, Range<usize>)>, what: &str| -> Result<usize, String> {
+        let n = n.map(|n| n.0).filter(|n| n.fract() == 0.0 && *n < 65_536.0);
+        n.map(|n| n as usize).ok_or_else(|| format!("{what}: expected a whole number"))
+    };
     let (wait, d) = d.ok_or("d is missing")?;
     Ok(Call {
+        get,
         customer,
-        units,
-        first: first as usize,
-        spread: spread as usize,
+        id,
+        units: units.ok_or("units is missing")?.0,
+        first: whole(first, "first")?,
+        spread: whole(spread, "spread")?,
         wait,
-        operation: operation.ok_or("c is missing")?,
-        plan: plan.ok_or("t is missing")?,
+        operation: operation.ok_or("c is missing")?.1,
+        plan: plan.ok_or("t is missing")?.1,
         list: head..names.end + 2,
         names: names.start,
         d,
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -55,7 +55,9 @@
     toy::list(list, format!(r#"{{"index":1,"snapshot":true,"endpoints":[{entry}]}}"#));
     let example = include_str!("../../examples/configuration.json");
     let told = example.replace("127.0.0.1:7400", &listen.to_string());
-    let told = told.replace("127.0.0.1:7401", &list_at.to_string());
+    let told = told
+        .replace("127.0.0.1:7401", &list_at.to_string())
+        .replace("\"memory_mb\": 192", "\"memory_mb\": 1");
     let told =
         told.replace("127.0.0.1:7402", &counter_at.to_string()).replace("127.0.0.1:7403", "127.0.0.1:0");
     let good = folder.join("good.json");
@@ -72,6 +74,13 @@
     text += &say(listen, &toy::invocation("order", 2900), 1);
     text += &say(listen, &toy::invocation("fail", 2900), 1);
     text += &say(listen, "PING\r\n", 2);
+    // Unfinished commands are kept as far as there is memory for them.
+    let half = format!("*5\r\n$9\r\nCALL.POST\r\n$60000\r\n{}", "x".repeat(50_000));
+    let mut halves: Vec<_> = (0..2).map(|_| TcpStream::connect(listen).expect("it accepts")).collect();
+    halves.iter_mut().for_each(|to| to.write_all(half.as_bytes()).expect("it reads"));
+    sleep(Duration::from_millis(100));
+    text += &say(listen, &half, 1);
+    drop(halves);
     // Far ahead of its answers: they all come, in the end.
     let ahead =
         say(listen, &(toy::invocation("slow", 1400) + &"*1\r\n$4\r\nPING\r\n".repeat(20_000)), 20_001);
@@ -102,13 +111,14 @@
         -ERR failed
         -ERR protocol: expected an array of bulk strings
 
+        -ERR protocol: too much unfinished
         20001 answers
         a look
         a look
         a look
         Some(0)
         [Some("not"), Some("read")]
-        10 clients ended with a reason
+        13 clients ended with a reason
     "#]]
     .assert_eq(&text);
 }
--- a/gateway/tests/reducer.rs
+++ b/gateway/tests/reducer.rs
@@ -12,6 +12,7 @@
 struct Bench {
     reducer: Reducer,
     now: f64,
+    id: u64,
     text: String,
 }
 
@@ -25,7 +26,7 @@
     let (peers, peers_all, counter, list) = (told.peers, told.peers_all, told.counter, told.discovery);
     let parties = Parties { peers, peers_all, counter, list, sockets };
     let reducer = Reducer::new(1000.0, start, parties, &told.known);
-    let mut bench = Bench { reducer, now: 1000.0, text: String::new() };
+    let mut bench = Bench { reducer, now: 1000.0, id: 1, text: String::new() };
     bench.settle();
     bench.text.clear();
     bench
@@ -86,11 +87,16 @@
         let (verb, body) = if operation == "look" { ("CALL.GET", "") } else { ("CALL.POST", "$1\r\nx\r\n") };
         let (n, list) = (if body.is_empty() { 4 } else { 5 }, format!("c={operation},{list}"));
         let text = format!(
-            "*{n}\r\n${}\r\n{verb}\r\n${}\r\n{customer}\r\n$2\r\nid\r\n${}\r\n{list}\r\n{body}",
+            "*{n}\r\n${}\r\n{verb}\r\n${}\r\n{customer}\r\n$16\r\n{:016x}\r\n${}\r\n{list}\r\n{body}",
             verb.len(),
             customer.len(),
+            self.id,
             list.len()
         );
+        self.id += 1;
+        self.says(client, &text)
+    }
+    fn says(&mut self, client: u64, text: &str) -> &mut Self {
         let (command, _) = resp::command(text.as_bytes()).expect("framed").expect("whole");
         self.event(Event::Command(client, command))
     }
@@ -129,8 +135,7 @@
 fn answers_go_in_the_order_of_the_commands() {
     let mut b = bench();
     b.client(1).call(1, "look", 5).call(1, "look", 6).until(0.05).up(4).up(5).value(5, "second");
-    b.value(4, "first").command(1, "sing", "5", "t=small,d=800").command(1, "look", "x", "t=small,d=800");
-    b.command(1, "look", "5", "t=small,d=800,first=3").command(1, "look", "5", "t=small");
+    b.value(4, "first");
     b.is(expect![[r#"
         0.000 connect Counter(2) to 127.0.0.1:7007
         0.000 connect Counter(3) to 127.0.0.1:7007
@@ -140,10 +145,53 @@
         0.050 backend link 5: look for 750 ms
         0.050 client 1: $5 first
         0.050 client 1: $6 second
-        0.050 client 1: -ERR unknown operation
-        0.050 client 1: -ERR customer: expected hex digits below 2^33
+    "#]]);
+}
+
+/// Guards: units of 0, a non-idempotent operation sent as an idempotent one and the id of an invocation that is out
+/// went on to backends, which said so five times over and were set aside for it.
+#[test]
+fn a_command_that_the_settings_do_not_allow_is_said_to_be_wrong_and_goes_nowhere() {
+    let mut b = bench();
+    b.client(1).call(1, "look", 5).until(0.05).up(3).text.clear();
+    b.id = 1;
+    b.call(1, "look", 5);
+    let customer = "0000000000000005";
+    for list in [
+        "t=small,d=800,units=0,spread=1,first=0",
+        "t=small,d=800,units=9,spread=1,first=0",
+        "t=small,d=800,units=1,spread=0,first=0",
+        "t=small,d=800,units=1,spread=4,first=0",
+        "t=small,d=800,units=1,spread=1,first=3",
+        "t=small,d=0,units=1,spread=1,first=0",
+        "t=small,d=1501,units=1,spread=1,first=0",
+        "t=big,d=800,units=1,spread=1,first=0",
+    ] {
+        b.command(1, "look", customer, list);
+    }
+    b.command(1, "sing", customer, "t=small,d=800,units=1,spread=1,first=0");
+    let list = "c=order,t=small,d=800,units=1,spread=1,first=0";
+    b.says(
+        1,
+        &format!(
+            "*4\r\n$8\r\nCALL.GET\r\n$16\r\n{customer}\r\n$16\r\n{customer}\r\n${}\r\n{list}\r\n",
+            list.len()
+        ),
+    );
+    b.value(3, "served");
+    b.is(expect![[r#"
+        0.050 client 1: $6 served
+        0.050 client 1: -ERR id: an invocation under it is open
+        0.050 client 1: -ERR units: expected more than 0, and 8 at the most
+        0.050 client 1: -ERR units: expected more than 0, and 8 at the most
         0.050 client 1: -ERR first and spread: no such front doors
-        0.050 client 1: -ERR d is missing
+        0.050 client 1: -ERR first and spread: no such front doors
+        0.050 client 1: -ERR first and spread: no such front doors
+        0.050 client 1: -ERR d: expected 1 to 1500 ms
+        0.050 client 1: -ERR d: expected 1 to 1500 ms
+        0.050 client 1: -ERR unknown plan
+        0.050 client 1: -ERR unknown operation
+        0.050 client 1: -ERR not by this command: CALL.GET is for what may be repeated, CALL.POST for all else
     "#]]);
 }
 
@@ -370,16 +418,21 @@
         2.200 log: connection client 1 ended: crowded
         2.200 log: connection client 2 ended: crowded
     "#]]);
-    // With enough of them, one that has asked may stay for longer.
+    // With enough of them, one that has asked may stay for longer, unless it stopped in mid-command.
     let mut b = bench();
     b.client(1).client(2).call(2, "look", 5).until(0.05).up(3).value(3, "a").text.clear();
+    b.until(0.5).client(3).call(3, "order", 5).event(Event::Partial(Conn::Client(3)));
     b.until(11.0);
     b.is(expect![[r#"
         0.080 log: connection counter 2 ended: dial-timeout
-        1.016 connect Counter(4) to 127.0.0.1:7007
-        1.096 log: connection counter 4 ended: dial-timeout
+        0.500 connect Counter(4) to 127.0.0.1:7007
+        0.540 backend link 3: order for 759 ms
+        0.580 log: connection counter 4 ended: dial-timeout
+        0.580 log: counter silent: 4 calls missed in 0.58 s; even slices
+        1.300 log: connection backend 3 s-a ended: gave-up
+        1.300 client 3: -ERR failed
         2.500 log: connection client 1 ended: idle
-        8.000 log: connection backend 3 s-a ended: idle
+        3.500 log: connection client 3 ended: idle
         10.500 log: connection client 2 ended: idle
     "#]]);
 }
--- a/gateway/tests/wire.rs
+++ b/gateway/tests/wire.rs
@@ -43,14 +43,41 @@
 #[test]
 fn commands() {
     let mut all = command("*1\r\n$4\r\nping\r\n");
-    all += &command("*4\r\n$8\r\nCALL.GET\r\n$2\r\n1f\r\n$1\r\n7\r\n$22\r\nc=look,d=480,k=z,t=big\r\n");
-    all +=
-        &command("*5\r\n$9\r\nCALL.POST\r\n$2\r\n1f\r\n$1\r\n7\r\n$13\r\nc=o,t=b,d=1e3\r\n$3\r\n\r\nx\r\n");
-    for list in ["c=o,t=b", "c=o,d=1", "c", "c=o,t=b,d=-1", "c=o,t=b,d=1,units=x", "c=o,t=b,d=1,spread=1e9"] {
-        let length = list.len();
-        all += &command(&format!("*4\r\n$8\r\nCALL.GET\r\n$1\r\n5\r\n$1\r\n7\r\n${length}\r\n{list}\r\n"));
+    let call = |customer: &str, id: &str, list: &str| {
+        let [c, i, l] = [customer, id, list].map(str::len);
+        command(&format!("*4\r\n$8\r\nCALL.GET\r\n${c}\r\n{customer}\r\n${i}\r\n{id}\r\n${l}\r\n{list}\r\n"))
+    };
+    let (customer, id) = ("000000000000001f", "9b1f03aa5c7e2d41");
+    all += &call(customer, id, "c=look,d=480,k=z,t=big,units=2.5,spread=3,first=1");
+    all += &command(
+        "*5\r\n$9\r\nCALL.POST\r\n$16\r\n000000000000001f\r\n$16\r\n9b1f03aa5c7e2d41\r\n\
+         $37\r\nc=o,t=b,d=10,units=1,spread=1,first=0\r\n$3\r\n\r\nx\r\n",
+    );
+    for list in [
+        "c=o,t=b,units=1,spread=1,first=0",
+        "c=o,d=1,units=1,spread=1,first=0",
+        "c=o,t=b,d=1,spread=1,first=0",
+        "c",
+        "c=o,t=b,d=-1,units=1",
+        "c=o,t=b,d=1e3,units=1",
+        "c=o,t=b,d=inf,units=1",
+        "c=o,t=b,d=1,units=x",
+        "c=o,t=b,d=1,units=",
+        "c=o,c=l,t=b,d=1,units=1,spread=1,first=0",
+        "c=o,t=b,d=1,units=1,spread=1.5,first=0",
+        "c=o,t=b,d=1,units=1,spread=1,first=99999999999999999999",
+    ] {
+        all += &call(customer, id, list);
+    }
+    for (customer, id) in [
+        ("1f", id),
+        ("0000000200000000", id),
+        ("+00000000000001f", id),
+        (customer, ""),
+        (customer, "9b1f03aa5c7e2d4 "),
+    ] {
+        all += &call(customer, id, "c=o,t=b,d=1,units=1,spread=1,first=0");
     }
-    all += &command("*3\r\n$8\r\nCALL.GET\r\n$9\r\n200000000\r\n$1\r\n7\r\n");
     all += &command("*2\r\n$3\r\nGET\r\n$0\r\n\r\n");
     for broken in
         ["PING\r\n", "*1\r\n:1\r\n", "*1\r\n$x\r\n", "*1\r\n$-2\r\n", "*1\r\n$1\r\nab\r\n", "*99\r\n"]
@@ -62,15 +89,25 @@
     all += &command(&format!("*5\r\n{0}{0}", format!("$40000\r\n{}\r\n", "x".repeat(40000))));
     expect![[r#"
         Ping in 14 of 14 bytes
-        31; passed on as "*4\r\n$8\r\nCALL.GET\r\n$2\r\n1f\r\n$1\r\n7\r\n$21\r\nc=look,d=77,k=z,t=big\r\n" in 62 of 62 bytes
-        31; passed on as "*5\r\n$9\r\nCALL.POST\r\n$2\r\n1f\r\n$1\r\n7\r\n$12\r\nc=o,t=b,d=77\r\n$3\r\n\r\nx\r\n" in 63 of 63 bytes
-        Wrong("d is missing") in 45 of 45 bytes
-        Wrong("t is missing") in 45 of 45 bytes
-        Wrong("expected name=value") in 39 of 39 bytes
-        Wrong("d: expected a number from 0 to 86400000") in 51 of 51 bytes
-        Wrong("units: expected a number from 0 to 1000000") in 58 of 58 bytes
-        Wrong("spread: expected a number from 0 to 65535") in 61 of 61 bytes
-        Wrong("wrong number of arguments") in 40 of 40 bytes
+        31; passed on as "*4\r\n$8\r\nCALL.GET\r\n$16\r\n000000000000001f\r\n$16\r\n9b1f03aa5c7e2d41\r\n$48\r\nc=look,d=77,k=z,t=big,units=2.5,spread=3,first=1\r\n" in 120 of 120 bytes
+        31; passed on as "*5\r\n$9\r\nCALL.POST\r\n$16\r\n000000000000001f\r\n$16\r\n9b1f03aa5c7e2d41\r\n$37\r\nc=o,t=b,d=77,units=1,spread=1,first=0\r\n$3\r\n\r\nx\r\n" in 118 of 118 bytes
+        Wrong("d is missing") in 103 of 103 bytes
+        Wrong("t is missing") in 103 of 103 bytes
+        Wrong("units is missing") in 99 of 99 bytes
+        Wrong("expected name=value") in 71 of 71 bytes
+        Wrong("d: expected a number") in 91 of 91 bytes
+        Wrong("d: expected a number") in 92 of 92 bytes
+        Wrong("d: expected a number") in 92 of 92 bytes
+        Wrong("units: expected a number") in 90 of 90 bytes
+        Wrong("units: expected a number") in 89 of 89 bytes
+        Wrong("c stands there twice") in 111 of 111 bytes
+        Wrong("spread: expected a whole number") in 109 of 109 bytes
+        Wrong("first: expected a whole number") in 126 of 126 bytes
+        Wrong("customer: expected 16 hex digits, below 2^33") in 92 of 92 bytes
+        Wrong("customer: expected 16 hex digits, below 2^33") in 107 of 107 bytes
+        Wrong("customer: expected 16 hex digits, below 2^33") in 107 of 107 bytes
+        Wrong("id: expected 16 hex digits") in 90 of 90 bytes
+        Wrong("id: expected 16 hex digits") in 107 of 107 bytes
         Wrong("unknown command") in 19 of 19 bytes
         after 1 bytes: Broken("expected an array of bulk strings")
         Broken("expected a bulk string")
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -44,6 +44,7 @@
 struct Extra {
     counter: bool,
     counter_timeout_us: f64,
+    max_units: Option<f64>,
     peer_intake: f64,
 }
 
@@ -70,11 +71,22 @@
     pub about: About,
 }
 
+/// An operation, as clients name it.
+pub struct Offered {
+    pub name: String,
+    /// It may be repeated freely.
+    pub idempotent: bool,
+    /// The longest that a client waits.
+    pub timeout: f64,
+}
+
 pub struct About {
     pub doors: usize,
     pub slot: usize,
-    pub operations: Vec<String>,
+    pub operations: Vec<Offered>,
     pub plans: Vec<String>,
+    /// The most units of one invocation.
+    pub most_units: f64,
     pub zones: Vec<String>,
     /// The list comes only when it is asked for.
     pub asks: bool,
@@ -101,6 +113,10 @@
     Ok(Operation { latency_objective: c.aim_us / 1e6, effect })
 }
 
+fn offered(c: Class) -> Offered {
+    Offered { idempotent: c.idempotency == "retryable", timeout: c.give_up_us / 1e6, name: c.name }
+}
+
 pub fn start(seed: u64, json: &[u8]) -> Result<Start, String> {
     let told: Told = serde_json::from_slice(json).map_err(|e| format!("settings: {e}"))?;
     let operations = told.classes.iter().enumerate().map(|(i, c)| operation(i, c));
@@ -140,7 +156,8 @@
         doors,
         slot: told.slot_no,
         longest_timeout: told.classes.iter().map(|c| c.give_up_us / 1e6).fold(0.0, f64::max),
-        operations: told.classes.into_iter().map(|c| c.name).collect(),
+        operations: told.classes.into_iter().map(offered).collect(),
+        most_units: told.extra.max_units.unwrap_or(f64::INFINITY),
         plans: told.tariffs.into_iter().map(|t| t.name).collect(),
         zones: told.zones,
         asks,
