A spoilt answer failed and ends its connection; one broken connection sets nothing aside

Checked (probe that prints what can't be decoded): noise, lengths that don't fit, a declared 3 GB, second copies behind a good answer, integers for values; the counter: noise, and 200 without a number. Ruled out: answers cut in two by the network. At fault: judge() set a backend aside at the first Broken; reply() took integers and bare strings for errors and kept the connection; replied() kept a connection with more behind the answer; counted() kept one without a number; response() let a 1xx take a turn. Now: an unreadable answer errored; two bad outcomes in a row set aside, whatever they are; surplus closes the connection and the good answer stands; the units of a counter's unreadable answer go back with the next call.

--- a/gateway/src/memory/backends.rs
+++ b/gateway/src/memory/backends.rs
@@ -81,9 +81,16 @@
         }
     }
 
-    pub(super) fn replied(&mut self, now: f64, id: u64, reply: Reply) {
+    /// What came on a link that waits for nothing would be taken for the answer of its next delivery.
+    pub(super) fn unasked(&mut self, id: u64) {
+        let Some(link) = self.links.get(&id).filter(|l| l.carries.is_empty()) else { return };
+        self.places[link.tgt].idle.retain(|i| *i != id);
+        self.close_link(id, Why::Surplus);
+    }
+
+    pub(super) fn replied(&mut self, now: f64, id: u64, reply: Reply, more: bool) {
         let Some(link) = self.links.get_mut(&id) else { return };
-        let Some(front) = link.carries.pop_front() else { return };
+        let Some(front) = link.carries.pop_front() else { return self.unasked(id) };
         if let Some((inv, delivery)) = front {
             match reply {
                 Reply::Value { value, billed } => {
@@ -94,6 +101,9 @@
                 Reply::Errored => self.end_delivery(inv, delivery, Ending::Errored, None),
             }
         }
+        if more {
+            self.unasked(id);
+        }
         self.rest(now, id);
     }
 
@@ -111,13 +121,15 @@
         self.links.remove(&id);
     }
 
-    /// A link broke or never came up: whatever had not left for it whole has not run.
-    pub(super) fn link_ended(&mut self, id: u64, unsent: bool) {
+    /// A link broke or never came up: whatever had not left for it whole has not run. An answer that can't be read is
+    /// one all the same: its backend is no worse than one that says it failed.
+    pub(super) fn link_ended(&mut self, id: u64, unsent: bool, why: Why) {
         let Some(mut link) = self.links.remove(&id) else { return };
         self.places[link.tgt].idle.retain(|i| *i != id);
         let mut unsent = unsent || !link.up;
         while let Some(last) = link.carries.pop_back() {
-            let ending = if unsent { Ending::NotConnected } else { Ending::Broken };
+            let broke = if why == Why::BadFraming { Ending::Errored } else { Ending::Broken };
+            let ending = if unsent { Ending::NotConnected } else { broke };
             unsent = !link.up;
             if let Some((inv, delivery)) = last {
                 self.end_delivery(inv, delivery, ending, None);
--- a/gateway/src/memory/counter.rs
+++ b/gateway/src/memory/counter.rs
@@ -55,7 +55,7 @@
         if self.counters.len() >= MOST {
             let oldest = *self.counters.keys().next().expect("there are some");
             self.close(Conn::Counter(oldest), Why::Silent);
-            self.counter_ended(now, oldest, false);
+            self.counter_ended(now, oldest, false, Why::Silent);
         }
         let id = self.new_conn();
         self.counters.insert(id, CounterLink { used: now, ..CounterLink::default() });
@@ -116,24 +116,34 @@
     pub(super) fn counted(&mut self, now: f64, id: u64, response: Response) {
         let Some(link) = self.counters.get_mut(&id) else { return };
         link.silent = false;
-        let Some((no, name)) = link.calls.pop_front() else { return };
+        let Some((no, name)) = link.calls.pop_front() else { return self.counter_unasked(id) };
         let total = std::str::from_utf8(&response.body).ok().and_then(|t| t.trim().parse::<f64>().ok());
         let result = match (response.status, total.filter(|t| t.is_finite())) {
             (200, Some(total)) => Counted::Total(total),
-            (200, None) => Counted::Unanswered,
-            _ => Counted::Unreached,
+            (200, None) => Counted::Added,
+            (503 | 400 | 404, _) => Counted::Unreached,
+            _ => Counted::Unanswered,
         };
         if let Some((name, timer)) = name {
             self.timers.remove(&timer);
             self.counter_says(now, name, no, result);
         }
-        if response.last {
-            self.close(Conn::Counter(id), Why::Closed);
-            self.counter_ended(now, id, false);
+        let spoilt = matches!(result, Counted::Added | Counted::Unanswered);
+        if response.last || spoilt {
+            self.close(Conn::Counter(id), if spoilt { Why::BadFraming } else { Why::Closed });
+            self.counter_ended(now, id, false, Why::Closed);
         }
         self.leave_old(id);
     }
 
+    /// What came on a connection that waits for nothing would be taken for the answer of its next call.
+    pub(super) fn counter_unasked(&mut self, id: u64) {
+        if self.counters.get(&id).is_some_and(CounterLink::idle) {
+            self.close(Conn::Counter(id), Why::Surplus);
+            self.counters.remove(&id);
+        }
+    }
+
     /// The counter is elsewhere now: what is out may still be answered, the next calls go there.
     pub(super) fn counter_moved(&mut self) {
         self.counters.values_mut().for_each(|l| l.old = true);
@@ -143,14 +153,13 @@
     }
 
     fn leave_old(&mut self, id: u64) {
-        let done = |l: &CounterLink| l.old && l.calls.is_empty() && l.waits.is_empty();
-        if self.counters.get(&id).is_some_and(done) {
+        if self.counters.get(&id).is_some_and(|l| l.old && l.idle()) {
             self.close(Conn::Counter(id), Why::Moved);
             self.counters.remove(&id);
         }
     }
 
-    pub(super) fn counter_ended(&mut self, now: f64, id: u64, unsent: bool) {
+    pub(super) fn counter_ended(&mut self, now: f64, id: u64, unsent: bool, why: Why) {
         let Some(link) = self.counters.remove(&id) else { return };
         for (call, no, timer) in link.waits {
             self.timers.remove(&timer);
@@ -158,7 +167,11 @@
         }
         let last = link.calls.len().saturating_sub(1);
         for (i, (no, name)) in link.calls.into_iter().enumerate() {
-            let result = if unsent && i == last { Counted::Unreached } else { Counted::Unanswered };
+            let result = match (unsent && i == last, i == 0 && why == Why::BadFraming) {
+                (true, _) => Counted::Unreached,
+                (_, true) => Counted::Added, // what can't be read is its answer all the same
+                _ => Counted::Unanswered,
+            };
             if let Some((name, timer)) = name {
                 self.timers.remove(&timer);
                 self.counter_says(now, name, no, result);
--- a/gateway/src/memory/event.rs
+++ b/gateway/src/memory/event.rs
@@ -63,7 +63,8 @@
 pub enum Event {
     Accepted(u64),
     Command(u64, Command),
-    Reply(u64, Reply),
+    /// A reply, and whether more came right behind it.
+    Reply(u64, Reply, bool),
     Response(Conn, Response),
     /// The beginning of a message has come, and not yet the rest.
     Partial(Conn),
--- a/gateway/src/memory/kept.rs
+++ b/gateway/src/memory/kept.rs
@@ -76,6 +76,13 @@
     pub used: f64,
 }
 
+impl CounterLink {
+    /// It carries nothing and nothing waits for it.
+    pub fn idle(&self) -> bool {
+        self.calls.is_empty() && self.waits.is_empty()
+    }
+}
+
 /// A timer, by its time and number.
 pub type Timer = (u64, u64);
 
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -101,14 +101,16 @@
                 self.room(now);
             }
             Event::Command(id, command) => self.command(now, id, command),
-            Event::Reply(id, reply) => self.replied(now, id, reply),
+            Event::Reply(id, reply, more) => self.replied(now, id, reply, more),
             Event::Response(Conn::Counter(id), r) => self.counted(now, id, r),
             Event::Response(Conn::List(id), r) if self.list == Some(id) => self.watched(now, id, r),
             Event::Response(..) => {}
             Event::Partial(Conn::Client(id)) => {
                 self.clients.entry(id).and_modify(|c| c.half = true);
             }
-            Event::Partial(_) => {}
+            Event::Partial(Conn::Backend(id)) => self.unasked(id),
+            Event::Partial(Conn::Counter(id)) => self.counter_unasked(id),
+            Event::Partial(Conn::List(_)) => {}
             Event::Up(Conn::Backend(id)) => self.up(now, id),
             Event::Up(Conn::Counter(id)) => self.counter_up(id),
             Event::Up(conn) => {
@@ -118,8 +120,8 @@
                 self.log_end(conn, why);
                 match conn {
                     Conn::Client(id) => self.client_gone(id),
-                    Conn::Backend(id) => self.link_ended(id, unsent),
-                    Conn::Counter(id) => self.counter_ended(now, id, unsent),
+                    Conn::Backend(id) => self.link_ended(id, unsent, why),
+                    Conn::Counter(id) => self.counter_ended(now, id, unsent, why),
                     Conn::List(id) if self.list == Some(id) => self.watch_failed(now),
                     Conn::List(_) => {}
                 }
@@ -178,7 +180,7 @@
             Due::Dial(id) => {
                 if self.links.get(&id).is_some_and(|l| !l.up) {
                     self.close(Conn::Backend(id), Why::DialTimeout);
-                    self.link_ended(id, true);
+                    self.link_ended(id, true, Why::DialTimeout);
                 }
             }
             // The timer goes with the invocation, so the index is still its own.
--- a/gateway/src/memory/room.rs
+++ b/gateway/src/memory/room.rs
@@ -81,9 +81,8 @@
                 self.close_link(id, Why::Idle);
             }
         }
-        let stale = |l: &CounterLink| l.calls.is_empty() && l.waits.is_empty();
         let old = now - COUNTER_IDLE / 2.0;
-        let stale = self.counters.iter().filter(|(_, l)| stale(l) && l.used < old);
+        let stale = self.counters.iter().filter(|(_, l)| l.idle() && l.used < old);
         for id in stale.map(|(id, _)| *id).collect::<Vec<_>>() {
             self.close(Conn::Counter(id), Why::Idle);
             self.counters.remove(&id);
--- a/gateway/src/sockets/link.rs
+++ b/gateway/src/sockets/link.rs
@@ -256,7 +256,7 @@
                 },
                 Conn::Backend(id) => {
                     let m = resp::reply(rest).map_err(|_| Why::BadFraming)?;
-                    m.map(|(m, n)| (Event::Reply(id, m), n))
+                    m.map(|(m, n)| (Event::Reply(id, m, n < rest.len()), n))
                 }
                 conn => {
                     let m = http::response(rest).map_err(|_| Why::BadFraming)?;
--- a/gateway/src/wire/http.rs
+++ b/gateway/src/wire/http.rs
@@ -49,7 +49,18 @@
     }
 }
 
+/// One whole response; those that only say that it is on its way (1xx) are passed over.
 pub fn response(bytes: &[u8]) -> Decoded<Response> {
+    let mut at = 0;
+    loop {
+        match one(&bytes[at..])? {
+            Some((r, n)) if (100..200).contains(&r.status) => at += n,
+            other => return Ok(other.map(|(r, n)| (r, at + n))),
+        }
+    }
+}
+
+fn one(bytes: &[u8]) -> Decoded<Response> {
     let mut headers = [httparse::EMPTY_HEADER; 32];
     let mut head = httparse::Response::new(&mut headers);
     let from = match head.parse(bytes) {
--- a/gateway/src/wire/resp.rs
+++ b/gateway/src/wire/resp.rs
@@ -254,32 +254,39 @@
     match bytes.first() {
         None => Ok(None),
         Some(b'*') => {
-            let Some((n, mut at)) = array(bytes)? else { return Ok(None) };
-            let mut value = None;
-            let mut billed = None;
-            for i in 0..n.unwrap_or(0) {
-                let Some((item, next)) = bulk(bytes, at)? else { return Ok(None) };
-                match (i, item) {
-                    (0, Some(item)) => value = Some(bytes[item].to_vec()),
-                    (1, Some(item)) => billed = figure(&bytes[item], "cost"),
-                    _ => {}
-                }
-                at = next;
+            let Some((n, at)) = array(bytes)? else { return Ok(None) };
+            if n != Some(3) {
+                return Err(Broken("expected a value, figures on use and a report"));
             }
-            let reply = value.map_or(Reply::Errored, |value| Reply::Value { value, billed });
-            Ok(Some((reply, at)))
+            let Some((value, at)) = bulk(bytes, at)? else { return Ok(None) };
+            let value = value.ok_or(Broken("no value"))?;
+            let Some((use_of, at)) = aside(bytes, at)? else { return Ok(None) };
+            let Some((_, at)) = aside(bytes, at)? else { return Ok(None) };
+            let billed = use_of.and_then(|u| figure(&bytes[u], "cost"));
+            Ok(Some((Reply::Value { value: bytes[value].to_vec(), billed }, at)))
         }
         Some(b'-') => {
             let Some((text, next)) = line(bytes, 0)? else { return Ok(None) };
-            let busy = text.starts_with(b"-BUSY");
-            Ok(Some((if busy { Reply::TurnedAway } else { Reply::Errored }, next)))
+            match text.split(|b| *b == b' ').next().unwrap_or_default() {
+                b"-BUSY" => Ok(Some((Reply::TurnedAway, next))),
+                [b'-', word @ ..] if !word.is_empty() && word.iter().all(u8::is_ascii_uppercase) => {
+                    Ok(Some((Reply::Errored, next)))
+                }
+                _ => Err(Broken("unknown error")),
+            }
         }
-        Some(b'+' | b':') => Ok(line(bytes, 0)?.map(|(_, next)| (Reply::Errored, next))),
-        Some(b'$') => Ok(bulk(bytes, 0)?.map(|(_, next)| (Reply::Errored, next))),
         Some(_) => Err(Broken("unknown type of reply")),
     }
 }
 
+/// What stands beside a value, from `at`: one that can't be read says nothing, and spoils nothing.
+fn aside(bytes: &[u8], at: usize) -> Decoded<Option<Range<usize>>> {
+    match bytes.get(at) {
+        Some(b'+' | b'-' | b':') => Ok(line(bytes, at)?.map(|(_, next)| (None, next))),
+        _ => bulk(bytes, at),
+    }
+}
+
 /// A number by its name in a list of names and values.
 fn figure(list: &[u8], name: &str) -> Option<f64> {
     let list = std::str::from_utf8(list).ok()?;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -184,7 +184,8 @@
             return self.credit(now, name, &call, total);
         }
         // Unanswered may have been added: what it paid is taken as paid, so that nothing is added twice.
-        a.settle += if result == Counted::Unreached { call.paid } else { 0.0 };
+        let back = if result == Counted::Added { call.add } else { 0.0 }; // added unread: it goes back
+        a.settle += if matches!(result, Counted::Unanswered) { 0.0 } else { call.paid } - back;
         for inv in &a.waiting {
             self.invs.entry(*inv).and_modify(|v| v.counter_until = now);
         }
@@ -689,9 +690,8 @@
                 // No answer tells little if others were answered since it was sent.
                 let silent = matches!(o.ending, Ending::TimedOut | Ending::Cancelled);
                 b.fails += u32::from(!silent || b.good_at < sent);
-                let enough = b.fails >= 2 || o.ending == Ending::Broken;
                 // Only what was sent since it was set aside says more than we knew.
-                if enough && b.aside.is_none_or(|a| sent > a.since) {
+                if b.fails >= 2 && b.aside.is_none_or(|a| sent > a.since) {
                     let span = b.aside.map_or(ASIDE.0, |a| (a.span * 2.0).min(ASIDE.1));
                     b.aside = Some(Aside { since: now, until: now + span, span });
                     let line = format!("{} bad in a row, last {:?}", b.fails, o.ending);
--- a/src/types.rs
+++ b/src/types.rs
@@ -136,6 +136,8 @@
     Total(f64),
     /// Nothing was added.
     Unreached,
+    /// It was added, but what the count stands at can't be read.
+    Added,
     /// It may have been added.
     Unanswered,
 }
