--- a/gateway/src/memory/kept.rs
+++ b/gateway/src/memory/kept.rs
@@ -54,7 +54,7 @@
     pub since: f64,
 }
 
-/// A backend as the list has it, and its idle connections, the newest last.
+/// A backend as the list has it (no address: the index is free), and its idle connections, the newest last.
 #[derive(Default)]
 pub struct Place {
     pub address: Option<SocketAddr>,
--- a/gateway/src/memory/list.rs
+++ b/gateway/src/memory/list.rs
@@ -5,6 +5,7 @@
 use crate::wire::http::{Request, Response};
 use crate::wire::listing::{self, Listing};
 use quillramp::types::*;
+use std::collections::HashSet;
 
 /// How long a watch waits, and how much longer its answer may take.
 const WATCH: f64 = 20.0;
@@ -38,6 +39,23 @@
         }
     }
 
+    /// Backends that are gone and that nothing here has to do with any more are forgotten; their indices are free.
+    pub(super) fn forget_gone(&mut self) {
+        let gone = |p: &Place| p.standing == Standing::Gone && p.address.is_some();
+        if !self.places.iter().any(gone) {
+            return;
+        }
+        let met = self.held.iter().flat_map(|h| h.deliveries.iter().map(|d| d.tgt));
+        let met: HashSet<Tgt> = met.chain(self.links.values().map(|l| l.tgt)).collect();
+        for tgt in (0..self.places.len()).filter(|t| !met.contains(t)) {
+            if gone(&self.places[tgt]) {
+                self.places[tgt] = Place::default();
+                self.names.release(tgt);
+                self.door.forgotten(tgt);
+            }
+        }
+    }
+
     pub(super) fn watch(&mut self, now: f64) {
         let id = self.new_conn();
         self.list = Some(id);
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -226,6 +226,11 @@
         self.conns
     }
 
+    /// How many backends are kept, or were at the most.
+    pub fn places(&self) -> usize {
+        self.places.len()
+    }
+
     // ======== the decisions
 
     pub(super) fn place(&mut self, now: f64, inv: Inv) {
--- a/gateway/src/memory/room.rs
+++ b/gateway/src/memory/room.rs
@@ -87,6 +87,7 @@
             self.close(Conn::Counter(id), Why::Idle);
             self.counters.remove(&id);
         }
+        self.forget_gone();
         self.at(now + LOOK, Due::Sweep);
     }
 }
--- a/gateway/tests/reducer.rs
+++ b/gateway/tests/reducer.rs
@@ -487,3 +487,30 @@
         0.400 log: connection counter 6 ended: surplus
     "#]]);
 }
+
+/// Guards: backends that had gone were kept for ever, by name, place and what the decisions knew of them; and an index
+/// must not come to mean another backend while anything here has to do with the first.
+#[test]
+fn gone_backends_are_forgotten_once_nothing_has_to_do_with_them() {
+    let mut b = bench();
+    b.event(Event::Up(Conn::List(1))).client(1).call(1, "order", 5).until(0.05).up(3).text.clear();
+    let mut list = |names: &[&str]| {
+        let entry = |n: &&str| {
+            format!(
+                r#"{{"name":"{n}","address":"127.0.0.1:7011","zone":"z","group":0,"status":"SERVING","weight":1,"since_ms":0}}"#
+            )
+        };
+        let all: Vec<String> = names.iter().map(entry).collect();
+        let body = format!(r#"{{"index":42,"snapshot":true,"endpoints":[{}]}}"#, all.join(","));
+        b.event(Event::Response(Conn::List(1), Response { status: 200, body: body.into(), last: false }));
+        let until = b.now - 1000.0 + 1.0;
+        b.until(until).text.clear();
+        b.reducer.places()
+    };
+    // The order is out at the first backend all the while; the indices of others are used again.
+    let mut places = vec![];
+    for names in [&["s-c", "s-d"], &["s-e", "s-f"], &["s-g", "s-h"]] {
+        places.push(list(names));
+    }
+    expect!["[4, 4, 4]"].assert_eq(&format!("{places:?}"));
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,7 +1,7 @@
 //! All decisions of one front door. Interface: `types.rs`; what it remembers: `state.rs`. The caller tells
-//! facts (`listed`, `unlisted`, `counted`, `peer_word`, `gone`, `streaming`) and asks three things: `place`
-//! (where does this invocation go, or not yet, or never), `after` (what now, after this outcome), `wait` (how
-//! long until the next look, and whom to ask about again). It keeps the timer and the held invocations;
+//! facts (`listed`, `forgotten`, `unlisted`, `counted`, `peer_word`, `gone`, `streaming`) and asks three:
+//! `place` (where does this invocation go, or not yet, or never), `after` (what now, after this outcome),
+//! `wait` (how long until the next look, and whom to ask about again). It keeps the timer and what is held;
 //! errands (counter calls, words, cancels, log lines) leave with the answers.
 //! Quota: a customer's count on the counter service holds the units taken since its window began. The store
 //! it stands for regains `rate` a second, so the allowance is the burst plus that, and a count that lags
@@ -144,6 +144,11 @@
         }
     }
 
+    /// A gone backend that nothing held has to do with any more: its index may mean another one from now on.
+    pub fn forgotten(&mut self, tgt: Tgt) {
+        self.backends.remove(&tgt);
+    }
+
     /// The list could not be had, or broke off: it is asked for again, not by all doors at once.
     pub fn unlisted(&mut self, now: f64) {
         let at = now + LIST_AGAIN * (0.5 + self.chance());
@@ -275,8 +280,7 @@
         let (ask, came, luck) = (v.ask, v.came, v.luck);
         let Operation { latency_objective: objective, effect } = self.operations[ask.operation];
         let (out, tries, left) = (v.out(), v.deliveries.len(), ask.until - now);
-        let units = ask.units.max(1.0);
-        let high = self.high[ask.operation] * units;
+        let (units, high) = (ask.units.max(1.0), self.high[ask.operation] * ask.units.max(1.0));
         let mut may_have_run = v.deliveries.iter().filter(|d| !d.ending.is_some_and(Ending::never_ran));
         let ran = may_have_run.next().map(|d| (d.tgt, d.sent));
         let (may_repeat, bound) = match (ran, effect) {
@@ -286,8 +290,7 @@
             }
             (_, Effect::NonIdempotent) => (false, None),
         };
-        let may_throttle = may_repeat && bound.is_none();
-        let late = now - came > objective;
+        let (may_throttle, late) = (may_repeat && bound.is_none(), now - came > objective);
         let spent = tries >= self.may.most || tries > 0 && (late || ran.is_some() && self.repeats < 1.0);
         if out > 0 {
             // A delivery is doubted when its backend is quiet, or when its answer is long overdue.
@@ -405,16 +408,14 @@
             return None;
         }
         let series = a.series;
-        let regained = p.rate * (now - f64::from(series) * WINDOW);
-        let owed = a.settle + a.sliced;
+        let (regained, owed) = (p.rate * (now - f64::from(series) * WINDOW), a.settle + a.sliced);
         let room = a.seen.map_or(p.burst, |s| p.burst + regained - (s + owed).max(regained));
         let rich = room > p.burst / 2.0;
         let leasing = a.calls.iter().any(|c| matches!(c.what, Errand::Lease { .. }));
         // A full slice smaller than the request goes into debt: else small quotas get nothing in silence.
         let fits = a.slice >= units.min(most);
         let saved = (self.pace * PACE_SPAN.0).max(PACE_SPAN.1);
-        self.calls = (self.calls + self.pace * (now - self.paced)).min(saved);
-        self.paced = now;
+        (self.calls, self.paced) = ((self.calls + self.pace * (now - self.paced)).min(saved), now);
         // A crowded counter serves those first whose slice is dry.
         let least = if fits { plenty(self.pace) } else { 1.0 };
         let need = units - a.unspent(now);
@@ -558,8 +559,8 @@
 
     fn heard(&mut self, now: f64) {
         if self.silent {
-            let line = format!("counter answers again after {:.2} s; leases resume", now - self.heard);
-            self.errands.log.push(line);
+            let gap = now - self.heard;
+            self.errands.log.push(format!("counter answers again after {gap:.2} s; leases resume"));
             self.pace /= 4.0; // no herd back to it
         }
         (self.silent, self.misses, self.heard) = (false, 0, now);
@@ -568,8 +569,7 @@
 
     fn missed(&mut self, now: f64) {
         self.misses += 1;
-        let less = PACE_STEP.1.min(self.pace * PACE_STEP.2);
-        self.pace = (self.pace - less).max(PACE.0 / self.doors);
+        self.pace = (self.pace - PACE_STEP.1.min(self.pace * PACE_STEP.2)).max(PACE.0 / self.doors);
         if !self.silent && self.misses >= MISSES && now - self.heard > PACE_SPAN.0 {
             (self.silent, self.recall) = (true, now + RECALL);
             let (n, gap) = (self.misses, now - self.heard);
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -25,6 +25,9 @@
         self.held[i] = Some(thing);
         i
     }
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.held.iter().flatten()
+    }
     pub fn release(&mut self, i: usize) -> Option<T> {
         let thing = self.held.get_mut(i)?.take()?;
         self.free.push(i);
