Three bad outcomes in a row set a backend aside, not two

Checked: how each connection to a backend ended (probe): 8% of deliveries meet a reset, at every backend alike, most of them on connections that were used within milliseconds; two on end are chance there. Ruled out: dead backends (24 refused connections), connections too long idle (fewer than 40). At fault: judge(), b.fails >= 2.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -691,7 +691,7 @@
                 let silent = matches!(o.ending, Ending::TimedOut | Ending::Cancelled);
                 b.fails += u32::from(!silent || b.good_at < sent);
                 // Only what was sent since it was set aside says more than we knew.
-                if b.fails >= 2 && b.aside.is_none_or(|a| sent > a.since) {
+                if b.fails >= 3 && b.aside.is_none_or(|a| sent > a.since) {
                     let span = b.aside.map_or(ASIDE.0, |a| (a.span * 2.0).min(ASIDE.1));
                     b.aside = Some(Aside { since: now, until: now + span, span });
                     let line = format!("{} bad in a row, last {:?}", b.fails, o.ending);
