--- a/gateway/src/memory/counter.rs
+++ b/gateway/src/memory/counter.rs
@@ -35,20 +35,21 @@
     /// The connection for a call: that of the last one on the same name, while it is out, so that they have their
     /// turns in order; else the least used; else a new one.
     fn counter_link(&mut self, now: f64, name: CountName, address: SocketAddr) -> u64 {
-        let well = |l: &CounterLink| !l.silent && !l.old;
         let turns = self.turns.get(&(name.customer, name.series));
-        if let Some(id) =
-            turns.and_then(|t| t.back()).map(|t| t.link).filter(|id| self.counters.get(id).is_some_and(well))
+        if let Some(id) = turns
+            .and_then(|t| t.back())
+            .map(|t| t.link)
+            .filter(|id| self.counters.get(id).is_some_and(CounterLink::well))
         {
             return id;
         }
         let best = self
             .counters
             .iter()
-            .filter(|(_, l)| well(l))
+            .filter(|(_, l)| l.well())
             .min_by_key(|(id, l)| (l.calls.len() + l.waits.len(), **id));
         let (best, load) = best.map_or((None, 0), |(id, l)| (Some(*id), l.calls.len() + l.waits.len()));
-        let pipes = self.counters.values().filter(|l| well(l)).count();
+        let pipes = self.counters.values().filter(|l| l.well()).count();
         if let Some(id) = best.filter(|_| load == 0 || pipes >= PIPES) {
             return id;
         }
@@ -139,11 +140,16 @@
     /// What came on a connection that waits for nothing would be taken for the answer of its next call.
     pub(super) fn counter_unasked(&mut self, id: u64) {
         if self.counters.get(&id).is_some_and(CounterLink::idle) {
-            self.close(Conn::Counter(id), Why::Surplus);
-            self.counters.remove(&id);
+            self.close_counter(id, Why::Surplus);
         }
     }
 
+    /// Ends a connection that carries nothing any more.
+    pub(super) fn close_counter(&mut self, id: u64, why: Why) {
+        self.close(Conn::Counter(id), why);
+        self.counters.remove(&id);
+    }
+
     /// The counter is elsewhere now: what is out may still be answered, the next calls go there.
     pub(super) fn counter_moved(&mut self) {
         self.counters.values_mut().for_each(|l| l.old = true);
@@ -154,8 +160,7 @@
 
     fn leave_old(&mut self, id: u64) {
         if self.counters.get(&id).is_some_and(|l| l.old && l.idle()) {
-            self.close(Conn::Counter(id), Why::Moved);
-            self.counters.remove(&id);
+            self.close_counter(id, Why::Moved);
         }
     }
 
--- a/gateway/src/memory/kept.rs
+++ b/gateway/src/memory/kept.rs
@@ -77,6 +77,10 @@
 }
 
 impl CounterLink {
+    /// New calls may go on it.
+    pub fn well(&self) -> bool {
+        !self.silent && !self.old
+    }
     /// It carries nothing and nothing waits for it.
     pub fn idle(&self) -> bool {
         self.calls.is_empty() && self.waits.is_empty()
--- a/gateway/src/memory/room.rs
+++ b/gateway/src/memory/room.rs
@@ -84,8 +84,7 @@
         let old = now - COUNTER_IDLE / 2.0;
         let stale = self.counters.iter().filter(|(_, l)| l.idle() && l.used < old);
         for id in stale.map(|(id, _)| *id).collect::<Vec<_>>() {
-            self.close(Conn::Counter(id), Why::Idle);
-            self.counters.remove(&id);
+            self.close_counter(id, Why::Idle);
         }
         self.forget_gone();
         self.at(now + LOOK, Due::Sweep);
