--- a/drill/src/host.rs
+++ b/drill/src/host.rs
@@ -79,7 +79,7 @@
                         120 => x.submitted(now, &r, reply)?,
                         110 => x.streaming(&r)?,
                         80 => x.completed(now, &r, reply)?,
-                        30 => x.aborted(&r),
+                        30 => x.aborted(now, &r),
                         20 => x.due(&r),
                         100 => x.counted(now, &r)?,
                         40 => x.peer_said(now, &r)?,
@@ -225,9 +225,9 @@
         Ok(())
     }
 
-    fn aborted(&mut self, r: &Record) {
+    fn aborted(&mut self, now: f64, r: &Record) {
         if let Some(&inv) = self.by_id.get(&r.u32(1)) {
-            self.door.gone(inv);
+            self.door.gone(now, inv);
             if let Some(held) = self.held[inv].as_mut() {
                 held.closed = true;
             }
--- a/gateway/src/memory/clients.rs
+++ b/gateway/src/memory/clients.rs
@@ -96,12 +96,12 @@
         }
     }
 
-    pub(super) fn client_gone(&mut self, id: u64) {
+    pub(super) fn client_gone(&mut self, now: f64, id: u64) {
         let Some(client) = self.clients.remove(&id) else { return };
         for inv in client.owed.into_iter().filter_map(|(inv, _)| inv) {
             if let Some(held) = self.held[inv].as_mut() {
                 held.closed = true;
-                self.door.gone(inv);
+                self.door.gone(now, inv);
                 self.release(inv);
             }
         }
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -119,7 +119,7 @@
             Event::Ended { conn, why, unsent } => {
                 self.log_end(conn, why);
                 match conn {
-                    Conn::Client(id) => self.client_gone(id),
+                    Conn::Client(id) => self.client_gone(now, id),
                     Conn::Backend(id) => self.link_ended(id, unsent, why),
                     Conn::Counter(id) => self.counter_ended(now, id, unsent, why),
                     Conn::List(id) if self.list == Some(id) => self.watch_failed(now),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,6 +16,7 @@
 const LAPSE: f64 = 1.0; // an unspent lease goes back
 const BATCH: f64 = 1.0 / 16.0; // of the burst, taken at once while more than half of the store is there
 const SPILL: f64 = 1.0 / 8.0; // of the burst: smaller lags of the count are left alone
+const PLACES: (u32, f64) = (1 << 30, 10.0); // counts of places: first series, and how long one is
 const WORTH: f64 = 0.5; // units: what is less waits for the next call
 const DEADLINE: (f64, f64) = (0.04, 3.0); // longest wait for the counter: of the objective, of its quickest
 const MISSES: u32 = 4; // calls past the deadline, none answered since: the counter is silent
@@ -185,6 +186,9 @@
         let Some(a) = self.accounts.get_mut(&name.customer) else { return };
         let Some(i) = a.calls.iter().position(|c| c.series == name.series) else { return };
         let call = a.calls.remove(i).expect("position found");
+        if name.series >= PLACES.0 {
+            return self.placed(now, name, &call, result);
+        }
         if let Counted::Total(total) = result {
             return self.credit(now, name, &call, total);
         }
@@ -213,18 +217,17 @@
             self.ring(last, Bell::Inv(inv));
         }
         let verdict = self.decide(now, inv);
-        self.answer(inv, verdict)
+        self.answer(now, inv, verdict)
     }
 
     /// What to do after this outcome.
     pub fn after(&mut self, now: f64, inv: Inv, o: &Outcome) -> Answer {
         self.awake(now);
-        let Some(v) = self.invs.get_mut(&inv) else { return self.answer(inv, Verdict::NotYet) };
+        let Some(v) = self.invs.get_mut(&inv) else { return self.answer(now, inv, Verdict::NotYet) };
         let (ask, sent) = (v.ask, v.deliveries[o.delivery].sent);
         v.deliveries[o.delivery].ending = Some(o.ending);
         let (out, left, closed) = (v.out(), v.closed, v.closed || o.closed);
         if let Some(a) = self.accounts.get_mut(&ask.customer) {
-            a.out = a.out.saturating_sub(1);
             if let Some(units) = o.true_units {
                 a.settle += units - ask.units;
                 self.look_after(ask.customer, now + LAPSE);
@@ -232,10 +235,10 @@
         }
         self.judge(now, &ask, (sent, left), o);
         if closed {
-            self.gone(inv);
+            self.gone(now, inv);
         }
         let verdict = if closed || out > 0 { Verdict::NotYet } else { self.decide(now, inv) };
-        self.answer(inv, verdict)
+        self.answer(now, inv, verdict)
     }
 
     /// How long to wait, and whom to ask about again now.
@@ -271,7 +274,16 @@
     /// Quota first; then the next delivery, as far as the operation allows one.
     fn decide(&mut self, now: f64, inv: Inv) -> Verdict {
         if !self.invs[&inv].admitted {
-            if let Some(no) = self.quota(now, inv) {
+            if !self.invs[&inv].paid {
+                if let Some(no) = self.quota(now, inv) {
+                    return no;
+                }
+                self.invs.get_mut(&inv).expect("held").paid = true;
+            }
+            if let Some(no) = self.place_of(now, inv) {
+                if no != Verdict::NotYet {
+                    self.give_back(now, inv);
+                }
                 return no;
             }
             self.invs.get_mut(&inv).expect("held").admitted = true;
@@ -311,10 +323,7 @@
             return if may_throttle { throttle(&self.may, 1.0) } else { Verdict::Error };
         }
         let tried: Vec<Tgt> = v.deliveries.iter().map(|d| d.tgt).collect();
-        // A cap on deliveries out at once is held by an even share, one at least.
-        let (open, a) = (self.plans[ask.plan].open as f64, &self.accounts[&ask.customer]);
-        let full = tries == 0 && open > 0.0 && a.out as f64 >= (open / a.doors).ceil();
-        let Some(tgt) = (if full { None } else { self.pick(now, (&ask, luck), &tried, bound) }) else {
+        let Some(tgt) = self.pick(now, (&ask, luck), &tried, bound) else {
             if out == 0 && now - came > objective / 4.0 {
                 self.give_back(now, inv);
                 return if may_throttle { throttle(&self.may, objective) } else { Verdict::Error };
@@ -324,7 +333,6 @@
         self.repeats = (self.repeats + REPEATS.0 - f64::from(ran.is_some())).min(REPEATS.1);
         self.look_again(now, inv, high);
         self.invs.get_mut(&inv).expect("held").deliveries.push(Delivery { tgt, sent: now, ending: None });
-        self.accounts.get_mut(&ask.customer).expect("has an account").out += 1;
         let b = self.backends.get_mut(&tgt).expect("picked");
         b.quiet_since = if b.out == 0 { now } else { b.quiet_since };
         b.out += 1;
@@ -339,15 +347,15 @@
         Verdict::NotYet
     }
 
-    fn answer(&mut self, inv: Inv, verdict: Verdict) -> Answer {
+    fn answer(&mut self, now: f64, inv: Inv, verdict: Verdict) -> Answer {
         if matches!(verdict, Verdict::Throttle { .. } | Verdict::Error) {
-            self.gone(inv);
+            self.gone(now, inv);
         }
         Answer { verdict, errands: std::mem::take(&mut self.errands) }
     }
 
     /// The client has left, or the time is up, or it has its answer: nothing more is owed.
-    pub fn gone(&mut self, inv: Inv) {
+    pub fn gone(&mut self, now: f64, inv: Inv) {
         let Some(v) = self.invs.get_mut(&inv) else { return };
         if !v.closed && self.may.cancels {
             let out = v.deliveries.iter().enumerate().filter(|(_, d)| d.ending.is_none());
@@ -355,7 +363,9 @@
         }
         v.closed = true;
         if v.out() == 0 {
-            self.invs.remove(&inv);
+            let v = self.invs.remove(&inv).expect("held");
+            self.accounts.entry(v.ask.customer).and_modify(|a| a.seeking.retain(|w| *w != inv));
+            self.vacate(now, v.ask.customer, v.place);
         }
     }
 
@@ -395,16 +405,18 @@
         a.slice = (a.slice + even * (now - a.used)).min(most);
         // What the slice regained the store did too.
         a.sliced = a.sliced.min(most - a.slice);
-        // A hard ceiling is held by an even share of its own, empty at start: a restart fills nothing.
-        let ceiling = a.ceiling + p.ceiling_rate / a.doors * (now - a.used);
-        a.ceiling = ceiling.min(p.ceiling_burst / a.doors);
+        // The count vouches for what is leased: all of it lies inside the quota. What is let in without one is held
+        // under a hard ceiling by an even share of what that leaves above the quota, empty at start: a restart
+        // fills nothing.
+        let (above, room) = ((p.ceiling_rate - p.rate) / a.doors, (p.ceiling_burst - p.burst) / a.doors);
+        a.ceiling = (a.ceiling + above * (now - a.used)).min(room);
         a.used = now;
-        if p.ceiling_rate > 0.0 && a.ceiling < units {
-            return Some(throttle(&self.may, (units - a.ceiling) * a.doors / p.ceiling_rate));
-        }
+        let capped = p.ceiling_rate > 0.0 && a.ceiling < units;
         if p.rate <= 0.0 || now < a.lapses && a.lease >= units {
-            a.lease -= if p.rate > 0.0 { units } else { 0.0 };
-            a.ceiling -= units;
+            if p.rate <= 0.0 && capped {
+                return Some(throttle(&self.may, (units - a.ceiling) / above));
+            }
+            *(if p.rate > 0.0 { &mut a.lease } else { &mut a.ceiling }) -= units;
             return None;
         }
         let series = a.series;
@@ -427,7 +439,7 @@
             let (idle, short) = (a.calls.is_empty(), (units.min(most) - a.slice) / even);
             // Whom a crowded counter can't be asked about goes into debt, while the backends keep up.
             let trust = !self.silent && rich && now - self.full > PAUSE;
-            let fits = fits || trust && a.slice > -OWED * p.burst;
+            let fits = (fits || trust && a.slice > -OWED * p.burst) && !capped;
             if fits {
                 drift(&mut self.asked, self.silent); // a silent counter is not crowded
                 a.slice -= units;
@@ -457,6 +469,85 @@
         Some(Verdict::NotYet)
     }
 
+    /// The word of a cap on deliveries out at once: a place is leased on a count of its own, and goes back when the
+    /// invocation has none out; none is yes. What a dead door held is forgotten with the count.
+    fn place_of(&mut self, now: f64, inv: Inv) -> Option<Verdict> {
+        let v = self.invs.get_mut(&inv).expect("held");
+        let (customer, past, hold) = (v.ask.customer, now >= v.counter_until, self.half[v.ask.operation]);
+        let a = self.accounts.get_mut(&customer).expect("has an account");
+        let open = self.plans[a.plan].open as f64;
+        if open <= 0.0 {
+            return None;
+        }
+        if let Some(series) = a.free.pop() {
+            v.place = Some(series);
+            a.seeking.retain(|w| *w != inv);
+            return None;
+        }
+        // The even share of less than one place is one place for that part of the time.
+        let fits = now >= a.own_again && (a.out as f64) < (open / a.doors).ceil();
+        let asked = a.calls.iter().filter(|c| matches!(c.what, Errand::Place)).count();
+        let least = if fits { plenty(self.pace) } else { 1.0 };
+        let full = now < a.full_until;
+        if full || self.silent || past || asked == 0 && self.calls < least || self.counter.is_none() {
+            a.seeking.retain(|w| *w != inv);
+            if full || !fits {
+                return Some(throttle(&self.may, hold / open));
+            }
+            a.own_again = now + hold * (a.doors / open - 1.0).max(0.0);
+            a.out += 1;
+            v.place = Some(0);
+            return None;
+        }
+        if !a.seeking.contains(&inv) {
+            a.seeking.push(inv);
+        }
+        if asked < a.seeking.len() {
+            let series = PLACES.0 + (now / PLACES.1) as u32;
+            self.call(now, (customer, series), (1.0, 0.0), Errand::Place);
+        }
+        Some(Verdict::NotYet)
+    }
+
+    /// What came of a call for a place, or of one that gave it back.
+    fn placed(&mut self, now: f64, name: CountName, call: &Call, result: Counted) {
+        let total = if let Counted::Total(total) = result { Some(total) } else { None };
+        let a = self.accounts.get_mut(&name.customer).expect("has calls");
+        let open = self.plans[a.plan].open as f64;
+        let (seeking, free) = (a.seeking.clone(), a.free.len());
+        if matches!(call.what, Errand::Place) && result != Counted::Unreached {
+            a.out += 1;
+            let fits = total.is_some_and(|t| t <= open);
+            if total.is_some() && !fits {
+                // Till then one of those that are out will have come back.
+                a.full_until = now + self.half.iter().copied().fold(f64::INFINITY, f64::min) / open;
+            }
+            if fits && free < seeking.len() {
+                a.free.push(name.series);
+            } else {
+                self.vacate(now, name.customer, Some(name.series));
+            }
+        }
+        if total.is_some() {
+            self.heard(now);
+        } else {
+            self.missed(now);
+            for inv in &seeking {
+                self.invs.entry(*inv).and_modify(|v| v.counter_until = now);
+            }
+        }
+        self.again.extend(seeking);
+    }
+
+    /// A place goes back: the count is told, unless it is silent.
+    fn vacate(&mut self, now: f64, customer: Customer, place: Option<u32>) {
+        let (Some(series), Some(a)) = (place, self.accounts.get_mut(&customer)) else { return };
+        a.out = a.out.saturating_sub(1);
+        if series > 0 && !self.silent {
+            self.call(now, (customer, series), (-1.0, -1.0), Errand::Return);
+        }
+    }
+
     fn call(&mut self, now: f64, (customer, series): (Customer, u32), (add, paid): (f64, f64), what: Errand) {
         let calls = &mut self.accounts.get_mut(&customer).expect("has an account").calls;
         calls.push_back(Call { series, sent: now, add, paid, what });
@@ -489,7 +580,7 @@
                 (units - fits, lag)
             }
             Errand::Lift { level } => (call.add - (level - before).clamp(0.0, call.add), 0.0),
-            Errand::Return => (0.0, 0.0),
+            Errand::Return | Errand::Place => (0.0, 0.0),
         };
         a.settle -= if back > WORTH { 0.0 } else { back };
         // More than full and owed is others' double lift, soon taken back: believed, it shut a customer out.
@@ -522,10 +613,12 @@
 
     /// Units of an invocation that was never sent on serve the customer's next.
     fn give_back(&mut self, now: f64, inv: Inv) {
-        let (ask, sent) = (&self.invs[&inv].ask, !self.invs[&inv].deliveries.is_empty());
-        let Some(a) = self.accounts.get_mut(&ask.customer).filter(|_| !sent) else { return };
+        let v = self.invs.get_mut(&inv).expect("held");
+        let (ask, paid) = (v.ask, std::mem::take(&mut v.paid) && v.deliveries.is_empty());
+        let Some(a) = self.accounts.get_mut(&ask.customer).filter(|a| paid && self.plans[a.plan].rate > 0.0) else {
+            return;
+        };
         a.lease = ask.units + a.unspent(now);
-        a.ceiling += ask.units;
         a.lapses = now + LAPSE;
         self.look_after(ask.customer, now + LAPSE);
     }
