--- a/src/decide.rs
+++ b/src/decide.rs
@@ -21,9 +21,9 @@
 const DEADLINE: (f64, f64) = (0.04, 3.0); // longest wait for the counter: of the objective, of its quickest
 const MISSES: u32 = 4; // calls past the deadline, none answered since: the counter is silent
 const RECALL: f64 = 0.25; // a silent counter is read this often
-const PACE: (f64, f64, f64) = (20.0, 400.0, 1200.0); // counter calls a second, all doors: least, first, most
+const PACE: (f64, f64, f64) = (20.0, 400.0, 2400.0); // counter calls a second, all doors: least, first, most
 const PACE_STEP: (f64, f64, f64) = (0.25, 2.5, 0.2); // more by an answer; less by a miss, a part at most
-const PACE_SPAN: (f64, f64) = (0.2, 2.0); // calls are saved up for so long, and so many at least
+const PACE_SPAN: (f64, f64) = (0.2, 4.0); // calls are saved up for so long, and so many at least
 const OWED: f64 = 0.25; // of the burst: so much may be spent on trust before the count is told
 const PAUSE: f64 = 1.0; // no trust for so long after all of the limit was out
 const STANDS: f64 = 0.5; // so far a call stands for invocations let in without one
@@ -807,7 +807,7 @@
 
 /// Calls saved up that leave room for those that could wait.
 fn plenty(pace: f64) -> f64 {
-    (pace * PACE_SPAN.0 / 2.0).max(PACE_SPAN.1)
+    (pace * PACE_SPAN.0 / 2.0).max(PACE_SPAN.1 / 4.0)
 }
 
 fn throttle(may: &Deliveries, seconds: f64) -> Verdict {
