--- a/src/decide.rs
+++ b/src/decide.rs
@@ -410,6 +410,7 @@
         // fills nothing.
         let (above, room) = ((p.ceiling_rate - p.rate) / a.doors, (p.ceiling_burst - p.burst) / a.doors);
         a.ceiling = (a.ceiling + above * (now - a.used)).min(room);
+        let often = now - a.used < LAPSE;
         a.used = now;
         let capped = p.ceiling_rate > 0.0 && a.ceiling < units;
         if p.rate <= 0.0 || now < a.lapses && a.lease >= units {
@@ -459,7 +460,7 @@
             a.waiting.push(inv); // one call in flight serves all that wait for it
             return Some(Verdict::NotYet);
         }
-        let units = need.max(if rich { p.burst * BATCH } else { 0.0 });
+        let units = need.max(if rich && often { p.burst * BATCH } else { 0.0 });
         // A call stands for others of this customer, let in on trust at doors that will not call for it soon.
         let owed = owed + if owed < WORTH { STANDS * need * (1.0 / self.asked.max(0.1) - 1.0) } else { 0.0 };
         drift(&mut self.asked, true);
