--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,7 +37,7 @@
 const PRESSED: f64 = 0.15; // of the latency objective: the work out at a backend may fill so much of it
 const SLOWED: f64 = 3.0; // times the least median of late: a slow answer
 const DRIFT: f64 = 0.0002; // by which that least forgets, an answer
-const LIMIT: (f64, f64) = (10.0, 0.25); // units out: at first, a backend, all doors; by an answer
+const LIMIT: (f64, f64, f64) = (10.0, 0.5, 1.0); // units out: at first, a backend, all doors; by an answer
 const RATE_SPAN: f64 = 2.0; // answers are counted over about so long
 const ASIDE: (f64, f64) = (1.0, 8.0); // a backend set aside: first and longest time
 const REPEATS: (f64, f64) = (0.1, 20.0); // re-deliveries: earned by a first delivery, and saved at most
@@ -760,7 +760,7 @@
         }
         if o.ending == Ending::Succeeded || slow && b.aside.is_none() && !o.ending.never_ran() {
             let more = if self.near { LIMIT.1 } else { 0.0 };
-            self.limit = (self.limit + if slow { -LIMIT.1 } else { more }).max(1.0);
+            self.limit = (self.limit + if slow { -LIMIT.2 } else { more }).max(1.0);
         }
         match o.ending {
             Ending::Succeeded => {
