--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -246,7 +246,7 @@
             let Some(held) = self.held[inv].as_ref() else { continue };
             let sent = &held.deliveries[delivery];
             let (tgt, took, closed) = (sent.tgt, now - sent.at, held.closed);
-            let outcome = Outcome { delivery, tgt, ending, took, closed, true_units };
+            let outcome = Outcome { delivery, tgt, ending, took, closed, true_units, report: None };
             let answer = self.door.after(now, inv, &outcome);
             self.carry_out(now, inv, answer);
         }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,7 +37,9 @@
 const PRESSED: f64 = 0.15; // of the latency objective: the work out at a backend may fill so much of it
 const SLOWED: f64 = 3.0; // times the least median of late: a slow answer
 const DRIFT: f64 = 0.0002; // by which that least forgets, an answer
-const LIMIT: (f64, f64, f64) = (10.0, 0.5, 1.0); // units out: at first, a backend, all doors; by an answer
+const LIMIT: (f64, f64) = (10.0, 0.25); // units out: at first, a backend, all doors; by an answer
+const CUT: f64 = 0.5; // off that limit by a slow answer of a backend that says it is full
+const FULL: (f64, f64) = (0.9, 2.0); // that is: share of its cores busy, times its own service time taken
 const RATE_SPAN: f64 = 2.0; // answers are counted over about so long
 const ASIDE: (f64, f64) = (1.0, 8.0); // a backend set aside: first and longest time
 const REPEATS: (f64, f64) = (0.1, 20.0); // re-deliveries: earned by a first delivery, and saved at most
@@ -616,7 +618,8 @@
     fn give_back(&mut self, now: f64, inv: Inv) {
         let v = self.invs.get_mut(&inv).expect("held");
         let (ask, paid) = (v.ask, std::mem::take(&mut v.paid) && v.deliveries.is_empty());
-        let Some(a) = self.accounts.get_mut(&ask.customer).filter(|a| paid && self.plans[a.plan].rate > 0.0) else {
+        let Some(a) = self.accounts.get_mut(&ask.customer).filter(|a| paid && self.plans[a.plan].rate > 0.0)
+        else {
             return;
         };
         a.lease = ask.units + a.unspent(now);
@@ -759,8 +762,11 @@
             drift(&mut self.hard[kind], !well);
         }
         if o.ending == Ending::Succeeded || slow && b.aside.is_none() && !o.ending.never_ran() {
-            let more = if self.near { LIMIT.1 } else { 0.0 };
-            self.limit = (self.limit + if slow { -LIMIT.2 } else { more }).max(1.0);
+            // What a backend says of its load tells work that waits from work that is long.
+            let full = o.report.is_some_and(|r| full(&r));
+            let less = if full { CUT * self.limit } else { 0.0 };
+            let more = if self.near && !full { LIMIT.1 } else { 0.0 };
+            self.limit = (self.limit + if slow { -less.max(LIMIT.1) } else { more }).max(1.0);
         }
         match o.ending {
             Ending::Succeeded => {
@@ -796,6 +802,13 @@
     }
 }
 
+/// Whether work waits at a backend, as far as it says so.
+fn full(r: &Report) -> bool {
+    let taken = r.held.zip(r.rate).zip(r.service).map(|((held, rate), own)| held > FULL.1 * own * rate);
+    let waits = taken.or(r.waiting.zip(r.held).map(|(waits, held)| waits * FULL.1 > held));
+    waits.or(r.busy.map(|busy| busy > FULL.0)).unwrap_or(false)
+}
+
 /// Moves an estimate of a quantile by one value.
 fn toward(estimate: &mut f64, value: f64, quantile: f64, step: f64) {
     *estimate *= if value > *estimate { 1.0 + step * quantile } else { 1.0 - step * (1.0 - quantile) };
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -10,6 +10,8 @@
     caps: Caps,
     classes: Vec<Class>,
     extra: Extra,
+    #[serde(default)]
+    feedback: Feedback,
     rules: Rules,
     slot_no: usize,
     tariffs: Vec<Tariff>,
@@ -48,6 +50,13 @@
     peer_intake: f64,
 }
 
+#[derive(Deserialize, Default)]
+struct Feedback {
+    #[serde(default)]
+    fields: Vec<String>,
+    source: Option<String>,
+}
+
 #[derive(Deserialize)]
 struct Rules {
     cold_from: f64,
@@ -95,6 +104,25 @@
     pub per_link: usize,
     pub counter_timeout: f64,
     pub longest_timeout: f64,
+    /// The values of a load report beside an answer, in their order; none where there is none.
+    pub report: Vec<String>,
+}
+
+/// A load report from its values by the names that the settings have for them; unknown ones are passed over.
+pub fn report(names: &[String], value: impl Fn(usize, &str) -> Option<f64>) -> Option<Report> {
+    let mut report = Report::default();
+    for (i, name) in names.iter().enumerate() {
+        let value = value(i, name).filter(|v| v.is_finite() && *v >= 0.0);
+        match name.as_str() {
+            "load_share" => report.busy = value,
+            "concurrent" => report.held = value,
+            "depth" => report.waiting = value,
+            "mean_ms" => report.service = value.map(|ms| ms / 1e3),
+            "tps" => report.rate = value,
+            _ => {}
+        }
+    }
+    (report != Report::default()).then_some(report)
 }
 
 fn operation(i: usize, c: &Class) -> Result<Operation, String> {
@@ -127,6 +155,11 @@
         "on_request" => true,
         other => return Err(format!("settings: discovery: unknown value '{other}'")),
     };
+    let report = match told.feedback.source.as_deref() {
+        Some("piggyback") => told.feedback.fields,
+        None | Some("pull" | "silent") => vec![],
+        Some(other) => return Err(format!("settings: feedback.source: unknown value '{other}'")),
+    };
     let plans: Vec<Plan> = told
         .tariffs
         .iter()
@@ -164,6 +197,7 @@
         dial_timeout: told.caps.dial_timeout_us / 1e6,
         link_idle: told.caps.conn_idle_us / 1e6,
         per_link: told.caps.streams_per_conn.max(1),
+        report,
         counter_timeout: told.extra.counter_timeout_us / 1e6,
     };
     Ok(Start { door, about })
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,7 +18,7 @@
     pub luck: f64, // what a cold backend must have of its capacity to get it
     pub last: f64, // a last look, whatever it is held for
     pub counter_until: f64,
-    pub paid: bool, // its units are spent
+    pub paid: bool,         // its units are spent
     pub place: Option<u32>, // held of a cap on what is out: of the count of that series, or 0 for our own share
     pub admitted: bool,
     pub look: f64,
@@ -63,7 +63,7 @@
     pub slice: f64,
     pub sliced: f64, // spent from the slice and not yet told to the count
     pub ceiling: f64,
-    pub out: usize, // places held
+    pub out: usize,     // places held
     pub free: Vec<u32>, // of them, not yet taken, by the series of their count
     pub seeking: Vec<Inv>,
     pub own_again: f64, // when our own share has a place again
--- a/src/types.rs
+++ b/src/types.rs
@@ -101,6 +101,19 @@
 /// The group that a repeat must stay in, and the backend that it was first sent to.
 pub type Kin = Option<(Group, Tgt)>;
 
+/// What a backend says of its load beside an answer, as far as it tells: late and a little noisy.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// The share of its cores that is busy.
+    pub busy: Option<f64>,
+    /// What it holds, and what of that waits.
+    pub held: Option<f64>,
+    pub waiting: Option<f64>,
+    /// Its service time of late, without waiting, and how many it serves a second.
+    pub service: Option<f64>,
+    pub rate: Option<f64>,
+}
+
 /// How a delivery ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Ending {
@@ -129,6 +142,7 @@
     /// Nothing more is owed for the invocation.
     pub closed: bool,
     pub true_units: Option<f64>,
+    pub report: Option<Report>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
