--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,6 +17,7 @@
 const BATCH: f64 = 1.0 / 16.0; // of the burst, taken at once while more than half of the store is there
 const SPILL: f64 = 1.0 / 8.0; // of the burst: smaller lags of the count are left alone
 const PLACES: (u32, f64) = (1 << 30, 10.0); // counts of places: first series, and how long one is
+const OWN: f64 = 4.0; // medians of answer times between places of our own share: few doors see most of a customer
 const WORTH: f64 = 0.5; // units: what is less waits for the next call
 const DEADLINE: (f64, f64) = (0.04, 3.0); // longest wait for the counter: of the objective, of its quickest
 const MISSES: u32 = 4; // calls past the deadline, none answered since: the counter is silent
@@ -497,7 +498,7 @@
             if full || !fits {
                 return Some(throttle(&self.may, hold / open));
             }
-            a.own_again = now + hold * (a.doors / open - 1.0).max(0.0);
+            a.own_again = now + OWN * hold * (a.doors / open - 1.0).max(0.0);
             a.out += 1;
             v.place = Some(0);
             return None;
