Where crossing rooms is charged for, a backend of the own zone wins among equals

zone and charges.cross_zone are read by both programs (default: no charge, as before); a zone outside the list ends the start.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,6 +37,7 @@
 const DOUBT: f64 = 3.0; // times the high answer time: a delivery is doubted whatever its backend does
 const PRESSED: f64 = 0.15; // of the latency objective: the work out at a backend may fill so much of it
 const SLOWED: f64 = 3.0; // times the least median of late: a slow answer
+const FAR: f64 = 1.5; // times its load: a backend in another zone, where crossing is charged for
 const DRIFT: f64 = 0.0002; // by which that least forgets, an answer
 const LIMIT: (f64, f64) = (10.0, 0.25); // units out: at first, a backend, all doors; by an answer
 const CUT: f64 = 0.5; // off that limit by a slow answer of a backend that says it is full
@@ -724,7 +725,9 @@
         let i = (!good.is_empty()).then(|| (self.chance() * good.len() as f64) as usize)?;
         let j = (i + (self.chance() * (good.len().max(2) - 1) as f64) as usize + 1) % good.len();
         // The units we have out there, against its size, its slowness beside its fellows and its warmth.
-        let load = |b: &Backend| (b.owes + 1.0) * b.high.clamp(0.5, 5.0) / b.is.size / self.share(now, b);
+        let far = |b: &Backend| if self.may.home.is_some_and(|h| h != b.is.zone) { FAR } else { 1.0 };
+        let slow = |b: &Backend| b.high.clamp(0.5, 5.0);
+        let load = |b: &Backend| (b.owes + 1.0) * slow(b) * far(b) / b.is.size / self.share(now, b);
         let (x, y) = (&self.backends[&good[i]], &self.backends[&good[j]]);
         Some(if load(y) < load(x) { y.is.tgt } else { x.is.tgt })
     }
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -14,6 +14,10 @@
     feedback: Feedback,
     rules: Rules,
     slot_no: usize,
+    #[serde(default)]
+    charges: Charges,
+    #[serde(default)]
+    zone: usize,
     tariffs: Vec<Tariff>,
     #[serde(default)]
     zones: Vec<String>,
@@ -50,6 +54,12 @@
     peer_intake: f64,
 }
 
+#[derive(Deserialize, Default)]
+struct Charges {
+    #[serde(default)]
+    cross_zone: f64,
+}
+
 #[derive(Deserialize, Default)]
 struct Feedback {
     #[serde(default)]
@@ -161,6 +171,9 @@
         Some(other) => return Err(format!("settings: feedback.source: unknown value '{other}'")),
     };
     // A lease passes under a ceiling because the quota lies under it.
+    if told.charges.cross_zone > 0.0 && told.zone >= told.zones.len() {
+        return Err(format!("settings: zone {} of {}", told.zone, told.zones.len()));
+    }
     let low = |t: &&Tariff| {
         t.ceiling_rate > 0.0
             && (t.ceiling_rate < t.per_second || t.per_second > 0.0 && t.hard_burst < t.depth)
@@ -186,6 +199,7 @@
         second_copies: told.caps.second_copies,
         cancels: told.caps.cancel,
         link_idle: told.caps.conn_idle_us / 1e6,
+        home: (told.charges.cross_zone > 0.0).then_some(told.zone),
         retry_after: told.caps.retry_after.then_some(told.caps.max_retry_after_us / 1e6),
     };
     let limits = CounterLimits { timeout: told.extra.counter_timeout_us / 1e6 };
--- a/src/types.rs
+++ b/src/types.rs
@@ -53,6 +53,8 @@
     pub link_idle: f64,
     /// The longest advice that clients heed; none where no advice can be given.
     pub retry_after: Option<f64>,
+    /// The door's own zone, where deliveries that leave it are charged for.
+    pub home: Option<usize>,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -358,6 +358,33 @@
         31.120 2: to 1"#]]);
 }
 
+/// Two deliveries in three crossed rooms, each at a charge.
+#[test]
+fn among_equals_the_own_zone_wins_where_crossing_is_charged_for_and_a_loaded_one_does_not() {
+    let mut all = String::new();
+    for home in [None, Some(1)] {
+        let mut d = desk(vec![operation(Effect::Idempotent)], vec![plan()], Deliveries { home, ..may() }, 2);
+        for i in 0..6 {
+            let t = 30.0 + f64::from(i);
+            let inv = d.comes(t, 0, 1.0);
+            d.counter(t);
+            d.ends(t + 0.1, inv, 0, Succeeded, 0.1);
+        }
+        let alone = d.told().matches(": to 1").count();
+        for customer in 1..3 {
+            d.comes_of(37.0, customer, 1.0);
+            d.counter(37.0);
+        }
+        let both = d.told().matches(": to 1").count();
+        all += &format!("{home:?}: {alone} of 6 one by one, {both} of 2 at once to 1\n");
+    }
+    expect![[r#"
+        None: 0 of 6 one by one, 1 of 2 at once to 1
+        Some(1): 6 of 6 one by one, 1 of 2 at once to 1
+    "#]]
+    .assert_eq(&all);
+}
+
 /// Full backends all over: the limit fell by a quarter for each slow answer, seconds too late.
 #[test]
 fn slow_answers_of_backends_that_say_they_are_full_halve_the_limit() {
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -25,7 +25,14 @@
 }
 
 pub fn may() -> Deliveries {
-    Deliveries { most: 5, second_copies: true, cancels: true, link_idle: 15.0, retry_after: Some(2.0) }
+    Deliveries {
+        most: 5,
+        second_copies: true,
+        cancels: true,
+        link_idle: 15.0,
+        retry_after: Some(2.0),
+        home: None,
+    }
 }
 
 pub fn desk(operations: Vec<Operation>, plans: Vec<Plan>, may: Deliveries, backends: usize) -> Desk {
