--- a/src/decide.rs
+++ b/src/decide.rs
@@ -417,11 +417,15 @@
         let often = now - a.used < LAPSE;
         a.used = now;
         let capped = p.ceiling_rate > 0.0 && a.ceiling < units;
+        // A young count grants the burst once more, the last one's has just been spent: it vouches for nothing.
+        let old = p.rate * (now - f64::from(a.series) * WINDOW) >= p.burst;
+        let vouched = p.ceiling_rate <= 0.0 || p.rate > 0.0 && old;
         if p.rate <= 0.0 || now < a.lapses && a.lease >= units {
-            if p.rate <= 0.0 && capped {
+            if !vouched && capped {
                 return Some(throttle(&self.may, (units - a.ceiling) / above));
             }
-            *(if p.rate > 0.0 { &mut a.lease } else { &mut a.ceiling }) -= units;
+            a.lease -= if p.rate > 0.0 { units } else { 0.0 };
+            a.ceiling -= if vouched { 0.0 } else { units };
             return None;
         }
         let series = a.series;
