--- a/src/decide.rs
+++ b/src/decide.rs
@@ -412,7 +412,8 @@
         // The count vouches for what is leased: all of it lies inside the quota. What is let in without one is held
         // under a hard ceiling by an even share of what that leaves above the quota, empty at start: a restart
         // fills nothing.
-        let (above, room) = ((p.ceiling_rate - p.rate) / a.doors, (p.ceiling_burst - p.burst) / a.doors);
+        let part = a.doors * 2.0; // half of it: a count may lag, and with all of it a ceiling came to 99% of the rule
+        let (above, room) = ((p.ceiling_rate - p.rate) / part, (p.ceiling_burst - p.burst) / part);
         a.ceiling = (a.ceiling + above * (now - a.used)).min(room);
         let often = now - a.used < LAPSE;
         a.used = now;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -308,7 +308,7 @@
     d.comes(36.1, 0, 1.0);
     d.no_counter(36.14, Unreached);
     d.check(expect![[r#"
-        30.000 0 comes: not yet; count 1: +1.00; 0: throttled, 0.50 s
+        30.000 0 comes: not yet; count 1: +1.00; 0: throttled, 1.00 s
         35.000 count 1: -1.00; 1 comes: not yet; count 1: +1.00; count 1: +10.00; 1: to 1
         35.100 2 comes: not yet; count 1: +1.00
         35.140 2: to 0
