--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,7 +17,7 @@
 const BATCH: f64 = 1.0 / 16.0; // of the burst, taken at once while more than half of the store is there
 const SPILL: f64 = 1.0 / 8.0; // of the burst: smaller lags of the count are left alone
 const PLACES: (u32, f64) = (1 << 30, 10.0); // counts of places: first series, and how long one is
-const OWN: f64 = 4.0; // medians of answer times between places of our own share: few doors see most of a customer
+const OWN: f64 = 4.0; // medians of answer times that a place of our own share is counted for
 const WORTH: f64 = 0.5; // units: what is less waits for the next call
 const DEADLINE: (f64, f64) = (0.04, 3.0); // longest wait for the counter: of the objective, of its quickest
 const MISSES: u32 = 4; // calls past the deadline, none answered since: the counter is silent
@@ -409,16 +409,16 @@
         a.slice = (a.slice + even * (now - a.used)).min(most);
         // What the slice regained the store did too.
         a.sliced = a.sliced.min(most - a.slice);
-        // The count vouches for what is leased: all of it lies inside the quota. What is let in without one is held
-        // under a hard ceiling by an even share of what that leaves above the quota, empty at start: a restart
-        // fills nothing.
-        let part = a.doors * 2.0; // half of it: a count may lag, and with all of it a ceiling came to 99% of the rule
+        // The count vouches for what is leased: it lies inside the quota. What is let in without one is held under a
+        // hard ceiling by an even share of half of what that leaves above the quota (a count may lag: with all of
+        // it a ceiling came to 99% of the rule), empty at start: a restart fills nothing.
+        let part = a.doors * 2.0;
         let (above, room) = ((p.ceiling_rate - p.rate) / part, (p.ceiling_burst - p.burst) / part);
         a.ceiling = (a.ceiling + above * (now - a.used)).min(room);
         let often = now - a.used < LAPSE;
         a.used = now;
         let capped = p.ceiling_rate > 0.0 && a.ceiling < units;
-        // A young count grants the burst once more, the last one's has just been spent: it vouches for nothing.
+        // A young count grants the burst once more, the last one's may just be spent: it vouches for nothing.
         let old = p.rate * (now - f64::from(a.series) * WINDOW) >= p.burst;
         let vouched = p.ceiling_rate <= 0.0 || p.rate > 0.0 && old;
         if p.rate <= 0.0 || now < a.lapses && a.lease >= units {
@@ -479,8 +479,8 @@
         Some(Verdict::NotYet)
     }
 
-    /// The word of a cap on deliveries out at once: a place is leased on a count of its own, and goes back when the
-    /// invocation has none out; none is yes. What a dead door held is forgotten with the count.
+    /// The word of a cap on deliveries out at once: a place is leased on a count of its own, and goes back when
+    /// the invocation has none out; none is yes. What a dead door held is forgotten with the count.
     fn place_of(&mut self, now: f64, inv: Inv) -> Option<Verdict> {
         let v = self.invs.get_mut(&inv).expect("held");
         let (customer, past, hold) = (v.ask.customer, now >= v.counter_until, self.half[v.ask.operation]);
