--- a/src/decide.rs
+++ b/src/decide.rs
@@ -409,9 +409,9 @@
         a.slice = (a.slice + even * (now - a.used)).min(most);
         // What the slice regained the store did too.
         a.sliced = a.sliced.min(most - a.slice);
-        // The count vouches for what is leased: it lies inside the quota. What is let in without one is held under a
-        // hard ceiling by an even share of half of what that leaves above the quota (a count may lag: with all of
-        // it a ceiling came to 99% of the rule), empty at start: a restart fills nothing.
+        // The count vouches for what is leased: it lies inside the quota. The rest is held under a hard ceiling
+        // by an even share of half of what that leaves above the quota (a count may lag: with all of it a
+        // ceiling came to 99% of the rule), empty at start: a restart fills nothing.
         let part = a.doors * 2.0;
         let (above, room) = ((p.ceiling_rate - p.rate) / part, (p.ceiling_burst - p.burst) / part);
         a.ceiling = (a.ceiling + above * (now - a.used)).min(room);
@@ -479,8 +479,8 @@
         Some(Verdict::NotYet)
     }
 
-    /// The word of a cap on deliveries out at once: a place is leased on a count of its own, and goes back when
-    /// the invocation has none out; none is yes. What a dead door held is forgotten with the count.
+    /// The word of a cap on deliveries out at once: a place is leased on a count of its own, and goes back
+    /// when the invocation has none out; none is yes. What a dead door held is forgotten with the count.
     fn place_of(&mut self, now: f64, inv: Inv) -> Option<Verdict> {
         let v = self.invs.get_mut(&inv).expect("held");
         let (customer, past, hold) = (v.ask.customer, now >= v.counter_until, self.half[v.ask.operation]);
