--- a/src/decide.rs
+++ b/src/decide.rs
@@ -409,7 +409,7 @@
         a.slice = (a.slice + even * (now - a.used)).min(most);
         // What the slice regained the store did too.
         a.sliced = a.sliced.min(most - a.slice);
-        // The count vouches for what is leased: it lies inside the quota. The rest is held under a hard ceiling
+        // The count vouches for what is leased: it lies inside the quota. The rest is held under a ceiling
         // by an even share of half of what that leaves above the quota (a count may lag: with all of it a
         // ceiling came to 99% of the rule), empty at start: a restart fills nothing.
         let part = a.doors * 2.0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -19,7 +19,7 @@
     pub last: f64, // a last look, whatever it is held for
     pub counter_until: f64,
     pub paid: bool,         // its units are spent
-    pub place: Option<u32>, // held of a cap on what is out: of the count of that series, or 0 for our own share
+    pub place: Option<u32>, // held of a cap: by its count's series, or 0 for our own share
     pub admitted: bool,
     pub look: f64,
     pub deliveries: Vec<Delivery>,
