--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -51,8 +51,8 @@
         let (mut from, mut to) = (BufReader::new(stream.try_clone()?), stream);
         while let Some(words) = command(&mut from)? {
             let list = words.get(3).map_or("", |l| l);
-            let operation = list.split(',').find_map(|p| p.strip_prefix("c=")).unwrap_or("?");
-            let plan = list.split(',').find_map(|p| p.strip_prefix("t=")).unwrap_or("?").to_string();
+            let of = |name| list.split(',').find_map(|p| p.strip_prefix(name)).unwrap_or("?");
+            let (operation, plan) = (of("c="), of("t=").to_string());
             {
                 let mut held = held.lock().expect("nobody panics");
                 let (now, most) = held.entry(plan.clone()).or_default();
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -36,6 +36,36 @@
     (listener, at)
 }
 
+/// Waits until it accepts, and has its list.
+fn up(at: &[SocketAddr]) {
+    for at in at {
+        let from = Instant::now();
+        while TcpStream::connect(at).is_err() && from.elapsed() < Duration::from_secs(10) {
+            sleep(Duration::from_millis(10));
+        }
+    }
+    sleep(Duration::from_millis(200));
+}
+
+/// A list service that knows these backends.
+fn lists(list: TcpListener, backends: &[(&str, SocketAddr)]) {
+    let entry = |(name, at): &(&str, SocketAddr)| {
+        format!(
+            r#"{{"name":"s-{name}","address":"{at}","zone":"z","group":0,"status":"SERVING","weight":1.0,"since_ms":0}}"#
+        )
+    };
+    let entries: Vec<String> = backends.iter().map(entry).collect();
+    toy::list(list, format!(r#"{{"index":1,"snapshot":true,"endpoints":[{}]}}"#, entries.join(",")));
+}
+
+/// The example's configuration, for a toy world at these addresses.
+fn example(list: SocketAddr, counter: SocketAddr) -> String {
+    include_str!("../../examples/configuration.json")
+        .replace("127.0.0.1:7401", &list.to_string())
+        .replace("127.0.0.1:7402", &counter.to_string())
+        .replace("127.0.0.1:7403", "127.0.0.1:0")
+}
+
 /// Sends this and reads so many replies.
 fn say(at: SocketAddr, text: &str, replies: usize) -> String {
     let mut to = TcpStream::connect(at).expect("it accepts");
@@ -61,25 +91,15 @@
     let (_, listen) = free(); // free again for the front door
     toy::backend(backend, "a");
     toy::counter(counter);
-    let entry = format!(
-        r#"{{"name":"s-a","address":"{backend_at}","zone":"z","group":0,"status":"SERVING","weight":1.0,"since_ms":0}}"#
-    );
-    toy::list(list, format!(r#"{{"index":1,"snapshot":true,"endpoints":[{entry}]}}"#));
-    let example = include_str!("../../examples/configuration.json");
-    let told = example.replace("127.0.0.1:7400", &listen.to_string());
-    let told = told
-        .replace("127.0.0.1:7401", &list_at.to_string())
+    lists(list, &[("a", backend_at)]);
+    let told = example(list_at, counter_at)
+        .replace("127.0.0.1:7400", &listen.to_string())
         .replace("\"memory_mb\": 192", "\"memory_mb\": 1");
-    let told =
-        told.replace("127.0.0.1:7402", &counter_at.to_string()).replace("127.0.0.1:7403", "127.0.0.1:0");
     let good = folder.join("good.json");
     std::fs::write(&good, &told).expect("a file");
-    let mut door = start(&good);
-    let from = Instant::now();
-    while TcpStream::connect(listen).is_err() && from.elapsed() < Duration::from_secs(10) {
-        sleep(Duration::from_millis(10));
-    }
-    sleep(Duration::from_millis(200)); // for the list
+    let mut started = Started(vec![start(&good)]);
+    let door = &mut started.0[0];
+    up(&[listen]);
 
     text += &say(listen, "*1\r\n$4\r\nPING\r\n", 1);
     text += &say(listen, &(toy::invocation("slow", 1400) + &toy::invocation("sing", 2900)), 2);
@@ -141,20 +161,15 @@
 fn doors_of_the_old_shape_and_the_new_serve_side_by_side() {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
     let held: toy::HeldByPlan = Default::default();
-    let (mut entries, (counter, counter_at), (list, list_at)) = (vec![], free(), free());
+    let (mut backends, (counter, counter_at), (list, list_at)) = (vec![], free(), free());
     for name in ["a", "b"] {
         let (backend, at) = free();
         toy::watched(backend, name, held.clone());
-        entries.push(format!(
-            r#"{{"name":"s-{name}","address":"{at}","zone":"z","group":0,"status":"SERVING","weight":1.0,"since_ms":0}}"#
-        ));
+        backends.push((name, at));
     }
     toy::counter(counter);
-    toy::list(list, format!(r#"{{"index":1,"snapshot":true,"endpoints":[{}]}}"#, entries.join(",")));
-    let example = include_str!("../../examples/configuration.json")
-        .replace("127.0.0.1:7401", &list_at.to_string())
-        .replace("127.0.0.1:7402", &counter_at.to_string())
-        .replace("127.0.0.1:7403", "127.0.0.1:0")
+    lists(list, &backends);
+    let example = example(list_at, counter_at)
         .replace("\"aim_us\": 400000", "\"aim_us\": 2000000") // no delivery is doubted meanwhile
         .replace("\"balancers\": 1", "\"balancers\": 4");
     let fresh = example
@@ -177,13 +192,7 @@
         doors.0.push(start(&file));
         at.push(listen);
     }
-    for &at in &at {
-        let from = Instant::now();
-        while TcpStream::connect(at).is_err() && from.elapsed() < Duration::from_secs(10) {
-            sleep(Duration::from_millis(10));
-        }
-    }
-    sleep(Duration::from_millis(200)); // for the list
+    up(&at);
 
     // One customer's 12 units are asked for at all doors in turn, 6 at each; a count may lag by an eighth, and a late
     // answer leaves a door to its slice.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -18,6 +18,7 @@
 const SPILL: f64 = 1.0 / 8.0; // of the burst: smaller lags of the count are left alone
 const PLACES: (u32, f64) = (1 << 30, 10.0); // counts of places: first series, and how long one is
 const OWN: f64 = 4.0; // medians of answer times that a place of our own share is counted for
+const ABOVE: f64 = 0.5; // of what a ceiling leaves above the quota: what goes without a lease may take
 const WORTH: f64 = 0.5; // units: what is less waits for the next call
 const DEADLINE: (f64, f64) = (0.04, 3.0); // longest wait for the counter: of the objective, of its quickest
 const MISSES: u32 = 4; // calls past the deadline, none answered since: the counter is silent
@@ -199,11 +200,8 @@
         // Unanswered may have been added: what it paid is taken as paid, so that nothing is added twice.
         let back = if result == Counted::Added { call.add } else { 0.0 }; // added unread: it goes back
         a.settle += if matches!(result, Counted::Unanswered) { 0.0 } else { call.paid } - back;
-        for inv in &a.waiting {
-            self.invs.entry(*inv).and_modify(|v| v.counter_until = now);
-        }
-        self.again.append(&mut a.waiting);
-        self.missed(now);
+        let waiting = std::mem::take(&mut a.waiting);
+        self.in_vain(now, waiting);
     }
 
     // ======== the three questions
@@ -410,17 +408,17 @@
         // What the slice regained the store did too.
         a.sliced = a.sliced.min(most - a.slice);
         // The count vouches for what is leased: it lies inside the quota. The rest is held under a ceiling
-        // by an even share of half of what that leaves above the quota (a count may lag: with all of it a
+        // by an even share of a part of what that leaves above the quota (a count may lag: with all of it a
         // ceiling came to 99% of the rule), empty at start: a restart fills nothing.
-        let part = a.doors * 2.0;
-        let (above, room) = ((p.ceiling_rate - p.rate) / part, (p.ceiling_burst - p.burst) / part);
+        let part = |all: f64| ABOVE * all / a.doors;
+        let (above, room) = (part(p.ceiling_rate - p.rate), part(p.ceiling_burst - p.burst));
         a.ceiling = (a.ceiling + above * (now - a.used)).min(room);
         let often = now - a.used < LAPSE;
         a.used = now;
         let capped = p.ceiling_rate > 0.0 && a.ceiling < units;
         // A young count grants the burst once more, the last one's may just be spent: it vouches for nothing.
-        let old = p.rate * (now - f64::from(a.series) * WINDOW) >= p.burst;
-        let vouched = p.ceiling_rate <= 0.0 || p.rate > 0.0 && old;
+        let (series, regained) = (a.series, p.rate * (now - f64::from(a.series) * WINDOW));
+        let vouched = p.ceiling_rate <= 0.0 || p.rate > 0.0 && regained >= p.burst;
         if p.rate <= 0.0 || now < a.lapses && a.lease >= units {
             if !vouched && capped {
                 return Some(throttle(&self.may, (units - a.ceiling) / above));
@@ -429,8 +427,7 @@
             a.ceiling -= if vouched { 0.0 } else { units };
             return None;
         }
-        let series = a.series;
-        let (regained, owed) = (p.rate * (now - f64::from(series) * WINDOW), a.settle + a.sliced);
+        let owed = a.settle + a.sliced;
         let room = a.seen.map_or(p.burst, |s| p.burst + regained - (s + owed).max(regained));
         let rich = room > p.burst / 2.0;
         let leasing = a.calls.iter().any(|c| matches!(c.what, Errand::Lease { .. }));
@@ -538,14 +535,10 @@
                 self.vacate(now, name.customer, Some(name.series));
             }
         }
-        if total.is_some() {
-            self.heard(now);
-        } else {
-            self.missed(now);
-            for inv in &seeking {
-                self.invs.entry(*inv).and_modify(|v| v.counter_until = now);
-            }
+        if total.is_none() {
+            return self.in_vain(now, seeking);
         }
+        self.heard(now);
         self.again.extend(seeking);
     }
 
@@ -671,6 +664,15 @@
         self.pace = (self.pace + PACE_STEP.0).clamp(PACE.0 / self.doors, PACE.2 / self.doors);
     }
 
+    /// A call was missed: those that wait for it do so no longer.
+    fn in_vain(&mut self, now: f64, waiting: Vec<Inv>) {
+        self.missed(now);
+        for inv in &waiting {
+            self.invs.entry(*inv).and_modify(|v| v.counter_until = now);
+        }
+        self.again.extend(waiting);
+    }
+
     fn missed(&mut self, now: f64) {
         self.misses += 1;
         self.pace = (self.pace - PACE_STEP.1.min(self.pace * PACE_STEP.2)).max(PACE.0 / self.doors);
@@ -830,7 +832,7 @@
 
 /// Calls saved up that leave room for those that could wait.
 fn plenty(pace: f64) -> f64 {
-    (pace * PACE_SPAN.0 / 2.0).max(PACE_SPAN.1 / 4.0)
+    (pace * PACE_SPAN.0 / 2.0).max(1.0)
 }
 
 fn throttle(may: &Deliveries, seconds: f64) -> Verdict {
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -170,10 +170,10 @@
         None | Some("pull" | "silent") => vec![],
         Some(other) => return Err(format!("settings: feedback.source: unknown value '{other}'")),
     };
-    // A lease passes under a ceiling because the quota lies under it.
     if told.charges.cross_zone > 0.0 && told.zone >= told.zones.len() {
         return Err(format!("settings: zone {} of {}", told.zone, told.zones.len()));
     }
+    // A lease passes under a ceiling because the quota lies under it.
     let low = |t: &&Tariff| {
         t.ceiling_rate > 0.0
             && (t.ceiling_rate < t.per_second || t.per_second > 0.0 && t.hard_burst < t.depth)
