--- a/gateway/src/life/configuration.rs
+++ b/gateway/src/life/configuration.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 
 pub const PATH: &str = "EDGE_CONFIG";
+const MGMT: &str = "EDGE_MGMT";
 
 #[derive(Deserialize)]
 pub struct Told {
@@ -19,6 +20,8 @@
     pub peers: Vec<SocketAddr>,
     pub peers_all: Option<SocketAddr>,
     pub counter: Option<SocketAddr>,
+    /// Where operators call; the environment may name it too.
+    pub mgmt: Option<SocketAddr>,
     pub known: Listing,
     /// What the decisions are given on the bench too.
     pub settings: Box<RawValue>,
@@ -45,6 +48,14 @@
     decode(&text).map_err(|e| format!("{path}: {e}"))
 }
 
+/// Where operators call, if they may: as the environment has it, else as the file does.
+pub fn mgmt(told: &Told) -> Result<Option<SocketAddr>, String> {
+    match std::env::var(MGMT) {
+        Ok(text) => text.parse().map(Some).map_err(|_| format!("{MGMT}: '{text}' is no address")),
+        Err(_) => Ok(told.mgmt),
+    }
+}
+
 pub fn decode(text: &[u8]) -> Result<Told, String> {
     serde_json::from_slice(text).map_err(|e| e.to_string())
 }
--- /dev/null
+++ b/gateway/src/life/handover.rs
@@ -0,0 +1,149 @@
+//! From one process of a front door to the next: the listening socket that is passed on, and what both must know,
+//! in a small file that is written whole and renamed. Files are touched on a thread of their own.
+use crate::memory::event::{Change, Event, Shared};
+use crate::sockets::inbox::Inbox;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::net::TcpListener;
+use std::os::fd::{BorrowedFd, FromRawFd};
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Names the descriptor of a listening socket that this process inherits.
+pub const PASSED: &str = "EDGE_PASSED_SOCKET";
+/// How often it is looked at for what the other process wrote.
+const LOOK: Duration = Duration::from_millis(100);
+/// A file that is longer is not ours.
+const LONGEST: u64 = 1024 * 1024;
+
+/// The listening socket that was passed on, if one was. To be called before any other descriptor is opened.
+pub fn passed() -> Result<Option<TcpListener>, String> {
+    let Ok(text) = std::env::var(PASSED) else { return Ok(None) };
+    let fd = text.parse::<i32>().ok().filter(|fd| *fd > 2);
+    let fd =
+        fd.ok_or_else(|| format!("{PASSED}: '{text}' is no descriptor that a socket can be passed as"))?;
+    nix::fcntl::fcntl(unsafe { BorrowedFd::borrow_raw(fd) }, nix::fcntl::FcntlArg::F_GETFD)
+        .map_err(|e| format!("{PASSED}: descriptor {fd}: {e}"))?;
+    // It is open, inherited, and nobody else in this process knows of it.
+    let socket = unsafe { socket2::Socket::from_raw_fd(fd) };
+    match socket.is_listener() {
+        Ok(true) => Ok(Some(socket.into())),
+        Ok(false) => Err(format!("{PASSED}: descriptor {fd} is a socket that does not listen")),
+        Err(e) => Err(format!("{PASSED}: descriptor {fd}: {e}")),
+    }
+}
+
+/// The thread that keeps the file.
+pub struct Keeper(Sender<(u64, Change)>);
+
+/// What stands in the file.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+struct Kept {
+    /// Backends out by hand.
+    out: BTreeSet<String>,
+    /// The front door is drained by hand.
+    drained: bool,
+    /// The newest process.
+    serves: u32,
+}
+
+impl Keeper {
+    /// What the file says so far; and the thread, if there is a folder for the file.
+    /// The file is in the folder that `TMPDIR` names, under the front door's own name.
+    pub fn start(name: &str, inbox: Arc<Inbox>) -> Result<(Shared, Option<Keeper>), String> {
+        let Some(folder) = std::env::var_os("TMPDIR").map(PathBuf::from).filter(|f| f.is_dir()) else {
+            return Ok((Shared::default(), None));
+        };
+        let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '-' };
+        let path = folder.join(format!("quillramp-{}.json", name.chars().map(plain).collect::<String>()));
+        let before = lenient(read(&path));
+        let (file, own) =
+            (Kept { drained: false, serves: std::process::id(), ..before.clone() }, before.serves);
+        // Whoever serves beside us hears of us from the file.
+        if let Err(why) = write(&path, &file) {
+            log::warn!("the next version will not know what this one does: {why}");
+        }
+        let (to, asked) = channel();
+        let thread = std::thread::Builder::new().name("keep".into());
+        let known = shared(&file, own);
+        let told = known.clone();
+        thread.spawn(move || keep(&path, &asked, &inbox, (told, own))).map_err(|e| e.to_string())?;
+        Ok((known, Some(Keeper(to))))
+    }
+
+    /// Writes a change down; what came of it is told as an event, with the call that asked for it.
+    pub fn write(&self, call: u64, change: Change) {
+        let _ = self.0.send((call, change)); // the thread lasts as long as the process
+    }
+}
+
+/// What the file says to this process, which found another one there at its start.
+fn shared(file: &Kept, before: u32) -> Shared {
+    let other = if file.serves == std::process::id() { before } else { file.serves };
+    let beside = other != 0 && Path::new("/proc").join(other.to_string()).exists();
+    Shared { out: file.out.clone(), drained: file.drained, beside }
+}
+
+fn keep(path: &Path, asked: &Receiver<(u64, Change)>, inbox: &Inbox, (mut known, before): (Shared, u32)) {
+    loop {
+        let (call, file) = match asked.recv_timeout(LOOK) {
+            Ok((call, change)) => (Some(call), changed(path, change)),
+            Err(RecvTimeoutError::Timeout) => (None, read(path)),
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
+        let now = file.map(|file| shared(&file, before));
+        if call.is_none() && now.as_ref().map_or(true, |now| *now == known) {
+            continue; // nothing new, or nothing that can be read
+        }
+        if let Ok(now) = &now {
+            known.clone_from(now);
+        }
+        inbox.tell(Event::Kept { call, shared: now });
+    }
+}
+
+/// Reads, changes and writes under a lock: the other process may be at it too.
+fn changed(path: &Path, change: Change) -> Result<Kept, String> {
+    let lock = std::fs::File::create(path.with_extension("lock")).map_err(|e| e.to_string())?;
+    lock.lock().map_err(|e| e.to_string())?;
+    let mut now = lenient(read(path));
+    match change {
+        Change::Out(name) => drop(now.out.insert(name)),
+        Change::Back(name) => drop(now.out.remove(&name)),
+        Change::Drained(drained) => now.drained = drained,
+    }
+    write(path, &now).map(|()| now)
+}
+
+/// What the file says; nothing where there is none.
+fn read(path: &Path) -> Result<Kept, String> {
+    match std::fs::metadata(path) {
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(Kept::default()),
+        Err(e) => return Err(format!("{}: {e}", path.display())),
+        Ok(file) if !file.is_file() || file.len() > LONGEST => {
+            return Err(format!("{}: no file of ours", path.display()))
+        }
+        Ok(_) => {}
+    }
+    let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    serde_json::from_slice(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// One that can't be read stops nothing.
+fn lenient(read: Result<Kept, String>) -> Kept {
+    read.unwrap_or_else(|why| {
+        log::warn!("what was kept for this version is passed over: {why}");
+        Kept::default()
+    })
+}
+
+fn write(path: &Path, file: &Kept) -> Result<(), String> {
+    let new = path.with_extension(std::process::id().to_string());
+    let text = serde_json::to_vec(file).map_err(|e| e.to_string())?;
+    std::fs::write(&new, text)
+        .and_then(|()| std::fs::rename(&new, path))
+        .map_err(|e| format!("{}: {e}", path.display()))
+}
--- a/gateway/src/life/signals.rs
+++ b/gateway/src/life/signals.rs
@@ -20,7 +20,7 @@
         }
         match configuration::read() {
             Ok(Told { discovery, counter, .. }) => inbox.tell(Event::Moved { list: discovery, counter }),
-            Err(why) => log::error!("configuration not taken up, the old one stays in force: {why}"),
+            Err(why) => inbox.tell(Event::NotMoved(why)),
         }
     }
     unreachable!("signals never end");
--- a/gateway/src/memory/backends.rs
+++ b/gateway/src/memory/backends.rs
@@ -62,7 +62,7 @@
         let Some((inv, delivery)) = carried else { return self.rest(now, id) };
         // It came up late: the invocation may be over by now, or its backend drain.
         let open = self.held[inv].as_ref().is_some_and(|h| !h.closed && now < h.ask.until);
-        if open && self.places[tgt].standing == Standing::Ready {
+        if open && self.places[tgt].takes() {
             return self.write(now, id, inv);
         }
         link.carries.clear();
@@ -75,7 +75,7 @@
         let Some(link) = self.links.get_mut(&id).filter(|l| l.carries.is_empty()) else { return };
         let tgt = link.tgt;
         link.since = now;
-        if self.places[tgt].standing == Standing::Ready {
+        if self.places[tgt].takes() {
             self.places[tgt].idle.push(id);
         } else {
             self.close_link(id, Why::Delisted);
--- a/gateway/src/memory/clients.rs
+++ b/gateway/src/memory/clients.rs
@@ -9,11 +9,13 @@
 
 impl Reducer {
     pub(super) fn command(&mut self, now: f64, id: u64, command: Command) {
+        let takes = self.takes_clients();
         let Some(client) = self.clients.get_mut(&id) else { return };
         (client.used, client.said, client.half) = (now, true, false);
         let no = client.first + client.owed.len() as u64;
         let answer = match command {
-            Command::Ping => Answer::Pong,
+            Command::Ping if takes => Answer::Pong,
+            Command::Ping => Answer::Error("draining".into()),
             Command::Wrong(why) => Answer::Error(why),
             Command::Broken(why) => {
                 client.broken = true;
@@ -71,6 +73,12 @@
     pub(super) fn answer(&mut self, now: f64, inv: Inv, answer: Answer) {
         let Some(held) = self.held[inv].as_mut().filter(|h| !h.closed) else { return };
         held.closed = true;
+        let counts = match answer {
+            Answer::Value(_) => &mut self.stats.completed,
+            Answer::Busy { .. } => &mut self.stats.rejected,
+            _ => &mut self.stats.failed,
+        };
+        counts[held.ask.operation] += 1;
         let (id, command) = (held.client, held.command);
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.used = now;
@@ -88,11 +96,12 @@
             client.first += 1;
             self.effects.push(Effect::Answer(id, answer));
         }
-        let (done, broken) = (client.owed.is_empty(), client.broken);
-        if done && (broken || self.leaving) {
+        if client.owed.is_empty() && client.broken {
             self.clients.remove(&id);
-            self.close(Conn::Client(id), if broken { Why::BadFraming } else { Why::Stopping });
+            self.close(Conn::Client(id), Why::BadFraming);
             self.exit_when_done();
+        } else if client.owed.is_empty() && (self.leaving || client.muted) {
+            self.parting.insert(id);
         }
     }
 
--- /dev/null
+++ b/gateway/src/memory/drain.rs
@@ -0,0 +1,122 @@
+//! The drain, and the stop, which is a drain that ends in an exit.
+use super::event::{Conn, Effect, Why};
+use super::kept::*;
+use super::reducer::Reducer;
+
+/// How long clients keep coming after the first no, and the least that the kill leaves for a long invocation.
+const LINGER: f64 = 0.5;
+const KILL: f64 = 3.0;
+/// From then on a client that asked on and on is not read from any more, so that its connection can end: it must have
+/// ended, or be without a new command for 2 s, 4 s after the call.
+const PATIENCE: f64 = 1.5;
+
+impl Reducer {
+    /// What `PING` hears. Where another process listens on the same socket, the front door as a whole goes on.
+    pub(super) fn takes_clients(&self) -> bool {
+        !self.shared.drained && (!self.stopping || self.parties.passed)
+    }
+
+    pub(super) fn stop(&mut self, now: f64) {
+        if std::mem::replace(&mut self.stopping, true) {
+            return;
+        }
+        let longest = self.about.longest_timeout.max(KILL);
+        self.at(now + longest + LINGER, Due::Exit);
+        if self.parties.passed {
+            self.effects
+                .push(Effect::Log("told to stop: the next process accepts, this one serves out".into()));
+            return self.leave(now);
+        }
+        self.effects.push(Effect::Log("told to stop: serving on, then ending connections".into()));
+        self.leave_after_a_while(now);
+    }
+
+    /// An operator drains this front door, or ends that.
+    pub(super) fn drained(&mut self, now: f64) {
+        let drained = self.shared.drained;
+        let says = if drained { "drained by hand: ending connections" } else { "the drain is over" };
+        self.effects.push(Effect::Log(says.into()));
+        if drained {
+            self.leave_after_a_while(now);
+        } else if !self.stopping {
+            self.leaving = false;
+            self.parting.clear();
+            self.leaves.take().map(|key| self.timers.remove(&key));
+        }
+    }
+
+    fn leave_after_a_while(&mut self, now: f64) {
+        if self.leaves.is_none() || self.stopping {
+            self.leaves.take().map(|key| self.timers.remove(&key));
+            self.leaves = Some(self.at(now + LINGER, Due::Leave));
+        }
+    }
+
+    /// Connections between invocations end; the others once they have their answers.
+    pub(super) fn leave(&mut self, now: f64) {
+        self.leaving = true;
+        if self.stopping {
+            self.effects.push(Effect::StopAccepting);
+        }
+        self.leaves = Some(self.at(now + PATIENCE - LINGER, Due::Mute));
+        self.parting
+            .extend(self.clients.iter().filter(|(_, c)| c.owed.is_empty() && c.said).map(|(id, _)| *id));
+        if !self.parties.passed || !self.stopping {
+            let silent = self.clients.iter().filter(|(_, c)| !c.said && !c.half);
+            self.parting.extend(silent.map(|(id, _)| *id));
+        }
+        if self.parties.passed && self.stopping {
+            // The next process needs the descriptors, and its own connections to backends.
+            for tgt in 0..self.places.len() {
+                self.close_idle(tgt);
+            }
+        }
+        self.exit_when_done();
+    }
+
+    /// Clients that ask on and on.
+    pub(super) fn mute(&mut self) {
+        if self.leaving {
+            let busy = self.clients.iter_mut().filter(|(_, c)| !c.owed.is_empty() && !c.muted);
+            let mut busy: Vec<u64> = busy.map(|(id, c)| (c.muted = true, *id).1).collect();
+            busy.sort_unstable();
+            self.effects.extend(busy.into_iter().map(Effect::Mute));
+        }
+    }
+
+    /// Connections that may end now: between two commands, and with nothing on them that nobody has read. Asked for
+    /// after all answers of a batch.
+    pub(super) fn part(&mut self) {
+        for id in std::mem::take(&mut self.parting) {
+            let Some(client) = self.clients.get(&id).filter(|c| c.owed.is_empty()) else { continue };
+            if client.muted {
+                self.clients.remove(&id);
+                self.close(Conn::Client(id), self.why());
+                self.exit_when_done();
+            } else if !client.half {
+                self.effects.push(Effect::Part(id));
+            }
+        }
+    }
+
+    pub(super) fn parted(&mut self, id: u64) {
+        if self.clients.remove(&id).is_some() {
+            self.log_end(Conn::Client(id), self.why());
+            self.exit_when_done();
+        }
+    }
+
+    fn why(&self) -> Why {
+        if self.stopping {
+            Why::Stopping
+        } else {
+            Why::Draining
+        }
+    }
+
+    pub(super) fn exit_when_done(&mut self) {
+        if self.leaving && self.stopping && self.clients.is_empty() {
+            self.effects.push(Effect::Exit);
+        }
+    }
+}
--- a/gateway/src/memory/event.rs
+++ b/gateway/src/memory/event.rs
@@ -1,6 +1,8 @@
 //! What happens to a front door, and what it asks to be done.
 use crate::wire::http::{Request, Response};
+use crate::wire::manage;
 use crate::wire::resp::{Answer, Call, Command, Reply};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -11,6 +13,8 @@
     Backend(u64),
     Counter(u64),
     List(u64),
+    /// An operator's call.
+    Operator(u64),
 }
 
 /// Why a connection ended, as its log line says it.
@@ -37,6 +41,10 @@
     /// The configuration names another address now.
     Moved,
     Stopping,
+    /// The front door drains.
+    Draining,
+    /// An operator's call was answered, or not finished in time.
+    Called,
 }
 
 impl Why {
@@ -55,13 +63,43 @@
             Why::Crowded => "crowded",
             Why::Moved => "moved",
             Why::Stopping => "stopping",
+            Why::Draining => "draining",
+            Why::Called => "called",
         }
     }
 }
 
+/// What operators change for good: it is kept for the next version too.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    Out(String),
+    Back(String),
+    Drained(bool),
+}
+
+/// What the processes of one front door share.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Shared {
+    /// Backends out by hand.
+    pub out: BTreeSet<String>,
+    pub drained: bool,
+    /// Another process of this front door is there too.
+    pub beside: bool,
+}
+
 #[derive(Debug)]
 pub enum Event {
     Accepted(u64),
+    /// An operator connected.
+    Called(u64),
+    Call(u64, manage::Call),
+    /// What is shared has changed: by a call from here, or by another process.
+    Kept {
+        call: Option<u64>,
+        shared: Result<Shared, String>,
+    },
+    /// A client's connection that was to end between invocations has.
+    Parted(u64),
     Command(u64, Command),
     /// A reply, and whether more came right behind it.
     Reply(u64, Reply, bool),
@@ -87,12 +125,22 @@
         list: SocketAddr,
         counter: Option<SocketAddr>,
     },
+    /// The configuration was to be read again, and can't be.
+    NotMoved(String),
     Stop,
 }
 
 #[derive(Debug)]
 pub enum Effect {
     Answer(u64, Answer),
+    /// To an operator; that side of the connection ends with it.
+    Respond(u64, manage::Response),
+    /// To be kept for the next version, and told to this one's other process.
+    Keep(u64, Change),
+    /// Ends a client's connection unless something has come on it that nobody has read.
+    Part(u64),
+    /// Nothing more is read from this client.
+    Mute(u64),
     /// The call, with the milliseconds that we shall wait.
     Deliver(u64, Arc<Call>, u64),
     Request(Conn, Request),
--- a/gateway/src/memory/kept.rs
+++ b/gateway/src/memory/kept.rs
@@ -51,6 +51,8 @@
     pub half: bool,
     /// Its framing broke: it closes once all is answered.
     pub broken: bool,
+    /// Nothing more is read from it: it closes so, too.
+    pub muted: bool,
 }
 
 /// A connection to a backend: the deliveries on it in order, none where an answer is no longer wanted.
@@ -66,9 +68,18 @@
 pub struct Place {
     pub address: Option<SocketAddr>,
     pub standing: Standing,
+    /// Out by hand.
+    pub out: bool,
     pub idle: Vec<u64>,
 }
 
+impl Place {
+    /// It may get what is new.
+    pub fn takes(&self) -> bool {
+        self.standing == Standing::Ready && !self.out
+    }
+}
+
 /// A connection to the counter, and its calls in order, none where their time is over.
 #[derive(Default)]
 pub struct CounterLink {
@@ -112,6 +123,8 @@
     Counter(u64, u64),
     Watch(u64),
     Sweep,
+    Operator(u64),
     Leave,
+    Mute,
     Exit,
 }
--- a/gateway/src/memory/list.rs
+++ b/gateway/src/memory/list.rs
@@ -30,15 +30,26 @@
             entries.push(Listed { tgt, standing, zone, cell, size, started });
         }
         self.door.listed(now, list.snapshot, &entries);
+        for e in &list.endpoints {
+            self.listed_names.add(&e.name);
+            // An operator's word holds whatever the list says.
+            if let Some(tgt) = self.names.find(&e.name).filter(|_| self.shared.out.contains(&e.name)) {
+                self.by_hand(now, tgt, true);
+            }
+        }
         for tgt in 0..self.places.len() {
-            if self.places[tgt].standing != Standing::Ready {
-                for id in std::mem::take(&mut self.places[tgt].idle) {
-                    self.close_link(id, Why::Delisted);
-                }
+            if !self.places[tgt].takes() {
+                self.close_idle(tgt);
             }
         }
     }
 
+    pub(super) fn close_idle(&mut self, tgt: Tgt) {
+        for id in std::mem::take(&mut self.places[tgt].idle) {
+            self.close_link(id, Why::Delisted);
+        }
+    }
+
     /// Backends that are gone and that nothing here has to do with any more are forgotten; their indices are free.
     pub(super) fn forget_gone(&mut self) {
         let gone = |p: &Place| p.standing == Standing::Gone && p.address.is_some();
--- a/gateway/src/memory/mod.rs
+++ b/gateway/src/memory/mod.rs
@@ -3,9 +3,11 @@
 mod backends;
 mod clients;
 mod counter;
+mod drain;
 pub mod event;
 pub mod kept;
 mod list;
+mod operators;
 mod peers;
 pub mod reducer;
 mod room;
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -1,20 +1,17 @@
 //! The reducer: every change of what a front door keeps goes through here. It turns events into calls of the
 //! decisions and their answers into effects; it decides nothing and touches no socket.
-use super::event::{Conn, Effect, Event, Why};
+use super::event::{Conn, Effect, Event, Shared, Why};
 use super::kept::*;
+use super::operators::{Names, Stats};
 use crate::wire::listing::Listing;
 use crate::wire::resp::Answer;
 use quillramp::decide::Door;
 use quillramp::facts::{About, Start};
 use quillramp::ids::{Ids, Slots};
 use quillramp::types::*;
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
-/// How long clients keep coming after SIGTERM, and the least that the kill leaves for a long invocation.
-const LINGER: f64 = 0.5;
-const KILL: f64 = 3.0;
-
 /// Where the other parties are.
 pub struct Parties {
     pub peers: Vec<SocketAddr>,
@@ -22,6 +19,11 @@
     pub counter: Option<SocketAddr>,
     pub list: SocketAddr,
     pub sockets: usize,
+    /// The listening socket was passed on: another process listens on it too.
+    pub passed: bool,
+    /// Operators may call; and what they change can be kept.
+    pub called: bool,
+    pub keeps: bool,
 }
 
 pub struct Reducer {
@@ -48,8 +50,15 @@
     pub(super) timer_no: u64,
     pub(super) ended: Vec<(Inv, usize, Ending, Beside)>,
     pub(super) strangers: u64,
+    pub(super) operators: BTreeMap<u64, Timer>,
+    pub(super) shared: Shared,
+    pub(super) listed_names: Names,
+    pub stats: Stats,
     pub(super) stopping: bool,
+    /// Connections end between invocations; what is next in that, and which may end after this batch.
     pub(super) leaving: bool,
+    pub(super) leaves: Option<Timer>,
+    pub(super) parting: BTreeSet<u64>,
     pub(super) effects: Vec<Effect>,
 }
 
@@ -78,10 +87,19 @@
             timer_no: 0,
             ended: vec![],
             strangers: 0,
+            operators: BTreeMap::new(),
+            shared: Shared::default(),
+            listed_names: Names::default(),
+            stats: Stats::default(),
             stopping: false,
             leaving: false,
+            leaves: None,
+            parting: BTreeSet::new(),
             effects: vec![],
         };
+        let none = vec![0; new.about.operations.len()];
+        new.stats =
+            Stats { completed: none.clone(), rejected: none.clone(), failed: none, ..Stats::default() };
         new.listed(now, known);
         if !new.about.asks {
             new.watch(now);
@@ -94,12 +112,16 @@
     pub fn reduce(&mut self, now: f64, event: Event) {
         match event {
             Event::Accepted(id) => {
-                if self.leaving {
+                if self.leaving && self.stopping && !self.parties.passed {
                     return self.close(Conn::Client(id), Why::Stopping);
                 }
                 self.clients.insert(id, Client { used: now, ..Client::default() });
                 self.room(now);
             }
+            Event::Called(id) => self.called(now, id),
+            Event::Call(id, call) => self.call(now, id, call),
+            Event::Kept { call, shared } => self.kept(now, call, shared),
+            Event::Parted(id) => self.parted(id),
             Event::Command(id, command) => self.command(now, id, command),
             Event::Reply(id, reply, more) => self.replied(now, id, reply, more),
             Event::Response(Conn::Counter(id), r) => self.counted(now, id, r),
@@ -110,7 +132,7 @@
             }
             Event::Partial(Conn::Backend(id)) => self.unasked(id),
             Event::Partial(Conn::Counter(id)) => self.counter_unasked(id),
-            Event::Partial(Conn::List(_)) => {}
+            Event::Partial(Conn::List(_) | Conn::Operator(_)) => {}
             Event::Up(Conn::Backend(id)) => self.up(now, id),
             Event::Up(Conn::Counter(id)) => self.counter_up(id),
             Event::Up(conn) => {
@@ -124,11 +146,22 @@
                     Conn::Counter(id) => self.counter_ended(now, id, unsent, why),
                     Conn::List(id) if self.list == Some(id) => self.watch_failed(now),
                     Conn::List(_) => {}
+                    Conn::Operator(id) => {
+                        self.operators.remove(&id).map(|key| self.timers.remove(&key));
+                    }
                 }
             }
             Event::Datagram { from, body } => self.heard(now, from, &body),
-            Event::Crowded => self.make_room(now),
+            Event::Crowded => {
+                self.make_room(now);
+            }
+            Event::NotMoved(why) => {
+                self.stats.reload_errors += 1;
+                let say = format!("configuration not taken up, the old one stays in force: {why}");
+                self.effects.push(Effect::Log(say));
+            }
             Event::Moved { list, counter } => {
+                self.stats.reloads += 1;
                 let say = format!("configuration read again: list service at {list}, counter at {counter:?}");
                 self.effects.push(Effect::Log(say));
                 if std::mem::replace(&mut self.parties.list, list) != list {
@@ -160,6 +193,7 @@
                 self.place(now, *inv);
             }
             if wait.again.is_empty() && self.ended.is_empty() {
+                self.part();
                 let own = self.timers.keys().next().map(|k| f64::from_bits(k.0));
                 let next = wait.seconds.map(|s| now + s);
                 let next = own.into_iter().chain(next).reduce(f64::min);
@@ -198,7 +232,9 @@
                 }
             }
             Due::Sweep => self.sweep(now),
-            Due::Leave => self.leave(),
+            Due::Operator(id) => self.end_call(id),
+            Due::Leave => self.leave(now),
+            Due::Mute => self.mute(),
             Due::Exit => self.effects.push(Effect::ExitNow),
         }
     }
@@ -209,6 +245,7 @@
             Conn::Backend(id) => ("backend", id),
             Conn::Counter(id) => ("counter", id),
             Conn::List(id) => ("list", id),
+            Conn::Operator(id) => ("operator", id),
         };
         let tgt = self.links.get(&id).filter(|_| matches!(conn, Conn::Backend(_)));
         let name = tgt.and_then(|l| self.names.name(l.tgt)).map_or("", |n| n);
@@ -291,34 +328,4 @@
             self.held.release(inv);
         }
     }
-
-    // ======== the end
-
-    fn stop(&mut self, now: f64) {
-        if !std::mem::replace(&mut self.stopping, true) {
-            self.effects.push(Effect::Log("told to stop: serving on, then ending connections".into()));
-            self.at(now + LINGER, Due::Leave);
-            self.at(now + self.about.longest_timeout.max(KILL) + LINGER, Due::Exit);
-        }
-    }
-
-    /// Connections between invocations end; the others once they have their answers.
-    fn leave(&mut self) {
-        self.leaving = true;
-        self.effects.push(Effect::StopAccepting);
-        let mut free: Vec<u64> = Vec::new();
-        free.extend(self.clients.iter().filter(|(_, c)| c.owed.is_empty()).map(|(id, _)| *id));
-        free.sort_unstable();
-        for id in free {
-            self.clients.remove(&id);
-            self.close(Conn::Client(id), Why::Stopping);
-        }
-        self.exit_when_done();
-    }
-
-    pub(super) fn exit_when_done(&mut self) {
-        if self.leaving && self.clients.is_empty() {
-            self.effects.push(Effect::Exit);
-        }
-    }
 }
--- a/gateway/src/memory/room.rs
+++ b/gateway/src/memory/room.rs
@@ -1,6 +1,7 @@
 //! Descriptors: what closes when they run short, and what has stood idle.
 use super::event::{Conn, Why};
 use super::kept::*;
+use super::operators::MOST;
 use super::reducer::Reducer;
 
 /// Descriptors kept for listening, the log, the loop and the like.
@@ -22,7 +23,10 @@
 
     /// No descriptor is left for one more connection.
     pub(super) fn short(&self) -> bool {
-        self.descriptors() + RESERVE > self.parties.sockets
+        let operators = if self.parties.called { MOST } else { 0 };
+        // What the machine allows, it allows to both processes of a front door together.
+        let sockets = if self.shared.beside { self.parties.sockets / 2 } else { self.parties.sockets };
+        self.descriptors() + RESERVE + operators > sockets
     }
 
     pub(super) fn room(&mut self, now: f64) {
@@ -38,21 +42,25 @@
     }
 
     /// Closes what stands idle: clients that only hold on to their connection, then the backend connection that has
-    /// longest, for it costs a handshake to have it again, then any client's.
-    pub(super) fn make_room(&mut self, now: f64) {
+    /// longest, for it costs a handshake to have it again, then any client's; false if there was none.
+    pub(super) fn make_room(&mut self, now: f64) -> bool {
         let held_on = |c: &Client| c.used < now - if c.said { CLIENT_IDLE.0 } else { ARRIVING };
         if let Some(id) = self.idle_client(held_on) {
-            return self.let_go(id, Why::Crowded);
+            self.let_go(id, Why::Crowded);
+            return true;
         }
         let idle = self.places.iter().filter_map(|p| p.idle.first()).copied();
         if let Some(id) = idle.min_by(|a, b| self.links[a].since.total_cmp(&self.links[b].since)) {
             let tgt = self.links[&id].tgt;
             self.places[tgt].idle.retain(|i| *i != id);
-            return self.close_link(id, Why::Crowded);
+            self.close_link(id, Why::Crowded);
+            return true;
         }
-        if let Some(id) = self.idle_client(|_| true) {
+        let spared = self.idle_client(|_| true);
+        if let Some(id) = spared {
             self.let_go(id, Why::Crowded);
         }
+        spared.is_some()
     }
 
     fn let_go(&mut self, id: u64, why: Why) {
@@ -65,7 +73,10 @@
     pub(super) fn sweep(&mut self, now: f64) {
         let crowded = 2 * self.descriptors() > self.parties.sockets;
         let long = |c: &Client| if c.said && !c.half && !crowded { CLIENT_IDLE.1 } else { CLIENT_IDLE.0 };
+        // A stopping process, with another to accept, ends no connection that nobody has asked anything on.
+        let spares = |c: &Client| self.stopping && self.parties.passed && !c.said;
         let idle = self.clients.iter().filter(|(_, c)| c.owed.is_empty() && c.used < now - long(c));
+        let idle = idle.filter(|(_, c)| !spares(c));
         let mut idle: Vec<u64> = idle.map(|(id, _)| *id).collect();
         idle.sort_unstable();
         for id in idle {
--- a/gateway/src/sockets/accept.rs
+++ b/gateway/src/sockets/accept.rs
@@ -1,4 +1,4 @@
-//! Takes clients' connections in. Out of descriptors, it waits until one is free again.
+//! Takes connections of clients and operators in. Out of descriptors, it waits until one is free again.
 use super::drive::Links;
 use super::link::{Common, Link};
 use crate::memory::event::{Conn, Event};
@@ -19,34 +19,48 @@
     Ok(socket.into())
 }
 
+/// Who connects, and whether another process listens on the same socket.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Who {
+    Clients { passed: bool },
+    Operators,
+}
+
 pub fn start(
-    listener: TcpListener,
+    (listener, who): (TcpListener, Who),
     links: Arc<Links>,
     common: Arc<Common>,
     stop: Arc<AtomicBool>,
 ) -> Result<(), String> {
     let listener = CoIo::new(listener).map_err(|e| format!("listen: {e:?}"))?;
-    *common.acceptor.borrow_mut() = Some(listener.waker());
-    may::go!(move || serve(&listener, &links, &common, &stop));
+    common.acceptors.borrow_mut().push(listener.waker());
+    may::go!(move || serve((&listener, who), &links, &common, &stop));
     Ok(())
 }
 
-fn serve(listener: &CoIo<TcpListener>, links: &Links, common: &Arc<Common>, stop: &AtomicBool) {
+fn serve((listener, who): (&CoIo<TcpListener>, Who), links: &Links, common: &Arc<Common>, stop: &AtomicBool) {
     let mut next = 0;
     loop {
-        // One look more after the word to stop: what the machine has taken in is ours.
-        let last = stop.load(Ordering::Relaxed);
+        // One look more after the word to stop: what the machine has taken in is ours, unless another process
+        // listens too.
+        let last = who != Who::Operators && stop.load(Ordering::Relaxed);
+        if last && who == (Who::Clients { passed: true }) {
+            return;
+        }
         loop {
             match listener.inner().accept() {
                 Ok((stream, from)) => {
                     next += 1;
-                    let conn = Conn::Client(next);
+                    let (conn, event) = match who {
+                        Who::Clients { .. } => (Conn::Client(next), Event::Accepted(next)),
+                        Who::Operators => (Conn::Operator(next), Event::Called(next)),
+                    };
                     match Link::start((conn, from), stream, true, common) {
                         Ok(link) => {
                             links.insert(conn, link);
-                            common.inbox.push(Event::Accepted(next));
+                            common.inbox.push(event);
                         }
-                        Err(e) => log::warn!("connection client {next} ended: {e}"),
+                        Err(e) => log::warn!("connection {conn:?} ended: {e}"),
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
--- a/gateway/src/sockets/drive.rs
+++ b/gateway/src/sockets/drive.rs
@@ -2,6 +2,7 @@
 use super::clock::Clock;
 use super::link::{Common, Link};
 use super::peers::Peers;
+use crate::life::handover::Keeper;
 use crate::memory::event::{Conn, Effect, Event, Why};
 use crate::memory::reducer::Reducer;
 use atomic_refcell::AtomicRefCell;
@@ -39,6 +40,7 @@
     pub links: Arc<Links>,
     pub peers: Option<Arc<Peers>>,
     pub stop_accepting: Arc<AtomicBool>,
+    pub keeper: Option<Keeper>,
 }
 
 impl Driver {
@@ -69,6 +71,7 @@
         let now = self.clock.now();
         // New work last: it must not go to a connection whose end is in the same batch.
         events.sort_by_key(|e| matches!(e, Event::Command(..)));
+        reducer.stats.written += self.common.written.swap(0, Ordering::Relaxed) as u64;
         for event in events.drain(..) {
             if let Event::Ended { conn, .. } = event {
                 self.links.remove(conn);
@@ -101,8 +104,31 @@
                 answer.encode(&mut link.out.borrow_mut());
                 link.answered();
             }),
-            Effect::Deliver(id, call, wait) => {
-                write(Conn::Backend(id), &|link| call.encode(wait, &mut link.out.borrow_mut()))
+            Effect::Deliver(id, call, wait) => write(Conn::Backend(id), &|link| {
+                call.encode(wait, &mut link.out.borrow_mut());
+                link.delivers();
+            }),
+            Effect::Respond(id, response) => write(Conn::Operator(id), &|link| {
+                response.encode(&mut link.out.borrow_mut());
+                link.mute();
+            }),
+            Effect::Keep(id, change) => {
+                if let Some(keeper) = &self.keeper {
+                    keeper.write(id, change);
+                }
+            }
+            Effect::Mute(id) => {
+                if let Some(link) = self.links.0.borrow().get(&Conn::Client(id)) {
+                    link.mute();
+                }
+            }
+            Effect::Part(id) => {
+                // What came meanwhile is read first, answered, and then it is looked again.
+                let quiet = self.links.0.borrow().get(&Conn::Client(id)).is_some_and(|l| !l.unread());
+                if quiet {
+                    self.end(Conn::Client(id), batch);
+                    self.common.inbox.push(Event::Parted(id));
+                }
             }
             Effect::Request(conn, request) => {
                 write(conn, &|link| request.encode(link.to, &mut link.out.borrow_mut()))
@@ -114,14 +140,7 @@
                     self.common.inbox.push(Event::Ended { conn, why: Why::Refused, unsent: true });
                 }
             },
-            Effect::Close(conn) => {
-                if let Some(link) = self.links.remove(conn) {
-                    link.close();
-                    if matches!(conn, Conn::Client(_)) && !link.flushed() {
-                        batch.closing.push(link);
-                    }
-                }
-            }
+            Effect::Close(conn) => self.end(conn, batch),
             Effect::Datagram(to, body) => {
                 if let Some(peers) = &self.peers {
                     peers.send(to, &body);
@@ -130,9 +149,7 @@
             Effect::Log(line) => log::info!("{line}"),
             Effect::StopAccepting => {
                 self.stop_accepting.store(true, Ordering::Relaxed);
-                if let Some(acceptor) = &*self.common.acceptor.borrow() {
-                    acceptor.wakeup();
-                }
+                self.common.wake_acceptors();
             }
             Effect::Exit => batch.exits = true,
             Effect::ExitNow => exit(),
@@ -140,6 +157,17 @@
     }
 }
 
+impl Driver {
+    fn end(&self, conn: Conn, batch: &mut Batch) {
+        if let Some(link) = self.links.remove(conn) {
+            link.close();
+            if matches!(conn, Conn::Client(_)) && !link.flushed() {
+                batch.closing.push(link);
+            }
+        }
+    }
+}
+
 fn exit() -> ! {
     log::info!("stopped");
     log::logger().flush();
--- a/gateway/src/sockets/link.rs
+++ b/gateway/src/sockets/link.rs
@@ -1,7 +1,7 @@
 //! One TCP connection of any kind: a coroutine reads and decodes; what is written leaves with the batch.
 use super::inbox::Inbox;
 use crate::memory::event::{Conn, Event, Why};
-use crate::wire::{http, resp, Broken};
+use crate::wire::{http, manage, resp, Broken};
 use atomic_refcell::AtomicRefCell;
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use std::io::{ErrorKind, Read, Write};
@@ -33,16 +33,23 @@
     unread: usize,
     /// Accepting waits for a descriptor.
     pub short: AtomicBool,
-    pub acceptor: AtomicRefCell<Option<WaitIoWaker>>,
+    pub acceptors: AtomicRefCell<Vec<WaitIoWaker>>,
+    /// Deliveries that left whole and are not yet counted.
+    pub written: AtomicUsize,
 }
 
 impl Common {
+    pub fn wake_acceptors(&self) {
+        self.acceptors.borrow().iter().for_each(WaitIoWaker::wakeup);
+    }
+
     /// With so many bytes of memory.
     pub fn new(inbox: Arc<Inbox>, memory: usize) -> Arc<Common> {
         let scratch = AtomicRefCell::new(vec![0; SCRATCH]);
         let (half, most_half, unread) = (AtomicUsize::new(0), memory / HALF, UNREAD.min(memory / HALF / 16));
-        let (short, acceptor) = (AtomicBool::new(false), AtomicRefCell::default());
-        Arc::new(Common { inbox, scratch, half, most_half, unread, short, acceptor })
+        let (short, acceptors, written) =
+            (AtomicBool::new(false), AtomicRefCell::default(), AtomicUsize::new(0));
+        Arc::new(Common { inbox, scratch, half, most_half, unread, short, acceptors, written })
     }
 }
 
@@ -56,15 +63,17 @@
     /// A client's commands that have no answer yet.
     owed: AtomicUsize,
     closed: AtomicBool,
+    /// Nothing more is read; for an operator: its answer is the last that leaves.
+    muted: AtomicBool,
+    /// Deliveries written to a backend's connection that have not all left.
+    deliveries: AtomicUsize,
     common: Arc<Common>,
 }
 
 impl Drop for Link {
     fn drop(&mut self) {
         if self.common.short.swap(false, Ordering::Relaxed) {
-            if let Some(acceptor) = &*self.common.acceptor.borrow() {
-                acceptor.wakeup();
-            }
+            self.common.wake_acceptors();
         }
     }
 }
@@ -81,7 +90,8 @@
         let stream = CoIo::new(stream).map_err(|e| std::io::Error::other(format!("{e:?}")))?;
         let (waker, common) = (stream.waker(), common.clone());
         let (out, owed, closed) = (AtomicRefCell::default(), AtomicUsize::new(0), AtomicBool::new(false));
-        let link = Arc::new(Link { conn, to, stream, waker, out, owed, closed, common });
+        let (muted, deliveries) = (AtomicBool::new(false), AtomicUsize::new(0));
+        let link = Arc::new(Link { conn, to, stream, waker, out, owed, closed, muted, deliveries, common });
         let own = link.clone();
         may::go!(move || own.serve(up));
         Ok(link)
@@ -109,11 +119,34 @@
             }
         }
         out.drain(..done);
+        if out.is_empty() {
+            let whole = self.deliveries.swap(0, Ordering::Relaxed);
+            self.common.written.fetch_add(whole, Ordering::Relaxed);
+            if self.muted.load(Ordering::Relaxed) && matches!(self.conn, Conn::Operator(_)) {
+                let _ = self.stream.inner().shutdown(Shutdown::Write); // it may have gone
+            }
+        }
         if out.is_empty() && out.capacity() > KEPT {
             *out = Vec::new();
         }
     }
 
+    /// One more delivery waits to leave.
+    pub fn delivers(&self) {
+        self.deliveries.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Nothing more is read from it; an operator has had its answer.
+    pub fn mute(&self) {
+        self.muted.store(true, Ordering::Relaxed);
+    }
+
+    /// Something has come that nobody has read, its end included.
+    pub fn unread(&self) -> bool {
+        let mut one = [0];
+        !matches!(self.stream.inner().peek(&mut one), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
     /// Whether all that was written has left.
     pub fn flushed(&self) -> bool {
         self.out.borrow().is_empty()
@@ -128,7 +161,8 @@
 
     /// A client that reads no answers, or asks far ahead of them, is not read from either.
     fn full(&self) -> bool {
-        self.out.borrow().len() > self.common.unread || self.owed.load(Ordering::Relaxed) >= OWED
+        let muted = self.muted.load(Ordering::Relaxed) && matches!(self.conn, Conn::Client(_));
+        muted || self.out.borrow().len() > self.common.unread || self.owed.load(Ordering::Relaxed) >= OWED
     }
 
     /// Ends it from our side; what was written before leaves first.
@@ -173,7 +207,8 @@
                 self.flush();
             }
             if self.closed.load(Ordering::Relaxed) {
-                if self.flushed() || !matches!(self.conn, Conn::Client(_)) || flags & ENDED != 0 {
+                let speaks = matches!(self.conn, Conn::Client(_) | Conn::Operator(_));
+                if self.flushed() || !speaks || flags & ENDED != 0 {
                     let _ = self.stream.inner().shutdown(Shutdown::Both);
                     return self.out.borrow_mut().clear(); // nothing more leaves
                 }
@@ -258,6 +293,11 @@
                     let m = resp::reply(rest).map_err(|_| Why::BadFraming)?;
                     m.map(|(m, n)| (Event::Reply(id, m, n < rest.len()), n))
                 }
+                Conn::Operator(id) => {
+                    let call = manage::call(rest).map(|call| (Event::Call(id, call), rest.len()));
+                    *deaf |= call.is_some(); // one call to a connection
+                    call
+                }
                 conn => {
                     let m = http::response(rest).map_err(|_| Why::BadFraming)?;
                     m.map(|(m, n)| (Event::Response(conn, m), n))
--- a/gateway/src/sockets/peers.rs
+++ b/gateway/src/sockets/peers.rs
@@ -12,8 +12,16 @@
 pub struct Peers(CoIo<UdpSocket>);
 
 impl Peers {
-    pub fn start(at: SocketAddr, inbox: Arc<Inbox>) -> Result<Arc<Peers>, String> {
-        let socket = UdpSocket::bind(at).map_err(|e| format!("{at}: {e}"))?;
+    /// `shared`: another process of this front door may have the address too. Both may send from it; what comes is
+    /// the newest one's.
+    pub fn start(at: SocketAddr, shared: bool, inbox: Arc<Inbox>) -> Result<Arc<Peers>, String> {
+        let bind = || -> std::io::Result<UdpSocket> {
+            let socket = socket2::Socket::new(socket2::Domain::for_address(at), socket2::Type::DGRAM, None)?;
+            socket.set_reuse_address(shared)?;
+            socket.bind(&at.into())?;
+            Ok(socket.into())
+        };
+        let socket = bind().map_err(|e| format!("{at}: {e}"))?;
         let peers = Arc::new(Peers(CoIo::new(socket).map_err(|e| format!("{at}: {e:?}"))?));
         let own = peers.clone();
         may::go!(move || loop {
--- a/gateway/src/wire/mod.rs
+++ b/gateway/src/wire/mod.rs
@@ -1,6 +1,7 @@
 //! What is spoken: pure codecs, bytes to small typed values and back. Datagrams are `quillramp::word`.
 pub mod http;
 pub mod listing;
+pub mod manage;
 pub mod resp;
 
 /// Framing that can't be followed any further, and why.
--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -64,6 +64,7 @@
         .replace("127.0.0.1:7401", &list.to_string())
         .replace("127.0.0.1:7402", &counter.to_string())
         .replace("127.0.0.1:7403", "127.0.0.1:0")
+        .replace("\"mgmt\": \"127.0.0.1:7404\",", "")
 }
 
 /// Sends this and reads so many replies.
--- /dev/null
+++ b/gateway/tests/passed.rs
@@ -0,0 +1,153 @@
+//! The real program and its next version on loopback: one listening socket, one folder for what both must know.
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// A front door that ends with the test.
+struct Door(Child);
+
+impl Drop for Door {
+    fn drop(&mut self) {
+        let _ = self.0.kill(); // it may have ended
+        let _ = self.0.wait();
+    }
+}
+
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+}
+
+fn folder(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+fn program(folder: &Path, mgmt: &str) -> Command {
+    let told =
+        include_str!("../../examples/configuration.json").replace("127.0.0.1:7403", "127.0.0.1:0").replace(
+            r#""endpoints": []"#,
+            r#""endpoints": [{"name": "s-a", "address": "127.0.0.1:9", "zone": "z", "group": 0,
+            "status": "SERVING", "weight": 1.0, "since_ms": 0}]"#,
+        );
+    let file = folder.join("told.json");
+    std::fs::write(&file, told).expect("a file");
+    let mut program = Command::new(env!("CARGO_BIN_EXE_quillramp"));
+    program.env("EDGE_CONFIG", file).env("TMPDIR", folder).env("EDGE_MGMT", mgmt).stderr(Stdio::piped());
+    program
+}
+
+/// What an operator's call gets: the status and the body.
+fn call(at: SocketAddr, call: &str) -> String {
+    let from = Instant::now();
+    let mut to = loop {
+        match TcpStream::connect(at) {
+            Ok(to) => break to,
+            Err(e) => assert!(from.elapsed() < Duration::from_secs(10), "{e}"),
+        }
+        sleep(Duration::from_millis(5));
+    };
+    write!(to, "{call} HTTP/1.1\r\nHost: x\r\n\r\n").expect("it reads");
+    let mut said = String::new();
+    to.read_to_string(&mut said).expect("it ends");
+    let status = said.split(' ').nth(1).unwrap_or("none").to_owned();
+    status + " " + said.split("\r\n\r\n").nth(1).unwrap_or("").trim()
+}
+
+fn ping(to: &mut TcpStream) -> String {
+    to.write_all(b"*1\r\n$4\r\nPING\r\n").expect("it reads");
+    let mut said = [0; 64];
+    let n = to.read(&mut said).expect("it answers");
+    String::from_utf8_lossy(&said[..n]).trim().to_owned()
+}
+
+#[test]
+fn the_next_version_takes_over_the_socket_and_the_bans() {
+    let folder = folder("takes-over");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listen = listener.local_addr().expect("an address");
+    let fd = listener.as_raw_fd();
+    nix::fcntl::fcntl(&listener, nix::fcntl::FcntlArg::F_SETFD(nix::fcntl::FdFlag::empty()))
+        .expect("inherited");
+    let start = |mgmt: SocketAddr| {
+        let mut program = program(&folder, &mgmt.to_string());
+        Door(program.env("EDGE_PASSED_SOCKET", fd.to_string()).spawn().expect("the program starts"))
+    };
+    let (first, second) = (free(), free());
+    let mut old = start(first);
+    assert_eq!(call(first, "GET /healthcheck"), "200 serving");
+    let connect = || TcpStream::connect(listen).expect("it listens");
+    let (mut kept, mut silent) = (connect(), connect());
+    assert_eq!(ping(&mut kept), "+PONG");
+    assert_eq!(call(first, "POST /backends/s-a/maint"), "200 done");
+
+    let new = start(second);
+    assert_eq!(call(second, "GET /healthcheck"), "200 serving");
+    assert!(
+        call(second, "GET /stats").contains(r#""members":1,"members_unavailable":1"#),
+        "the ban came along"
+    );
+    // A call at the new one reaches the old one too.
+    assert_eq!(call(second, "POST /backends/s-a/ready"), "200 done");
+    sleep(Duration::from_millis(300));
+    assert!(call(first, "GET /stats").contains(r#""members_unavailable":0"#));
+    kill(Pid::from_raw(old.0.id() as i32), Signal::SIGTERM).expect("it runs");
+    sleep(Duration::from_millis(100));
+    assert!(call(first, "GET /healthcheck").starts_with("503"));
+    assert_eq!(kept.read(&mut [0]).expect("an end"), 0, "ended between two commands");
+    // What nobody had asked anything on is still served, and each new one finds a process that listens.
+    for _ in 0..20 {
+        assert_eq!(ping(&mut connect()), "+PONG");
+    }
+    assert_eq!(ping(&mut silent), "+PONG");
+    assert_eq!(silent.read(&mut [0]).expect("an end"), 0);
+    assert_eq!(old.0.wait().expect("it ends").code(), Some(0));
+    assert_eq!(ping(&mut connect()), "+PONG");
+    drop(new);
+}
+
+#[test]
+fn what_is_passed_and_kept_wrongly_is_said_in_one_line() {
+    let folder = folder("wrongly");
+    let said = |program: &mut Command| {
+        let output = program.output().expect("it runs");
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!((output.status.code(), text.lines().count()), (Some(1), 1), "{text}");
+        text.trim().to_owned()
+    };
+    let file = std::fs::File::create(folder.join("plain")).expect("a file");
+    nix::fcntl::fcntl(&file, nix::fcntl::FcntlArg::F_SETFD(nix::fcntl::FdFlag::empty())).expect("inherited");
+    for (fd, why) in [
+        ("x", "is no descriptor"),
+        ("0", "is no descriptor"),
+        ("977", "EBADF"),
+        (&file.as_raw_fd().to_string(), "non-socket"),
+    ] {
+        let line = said(program(&folder, "127.0.0.1:0").env("EDGE_PASSED_SOCKET", fd)).to_lowercase();
+        assert!(line.contains(&why.to_lowercase()), "{line}");
+    }
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let at = taken.local_addr().expect("an address").to_string();
+    for mgmt in ["here", at.as_str()] {
+        said(&mut program(&folder, mgmt));
+    }
+    // A spoilt file stops nothing.
+    std::fs::write(folder.join("quillramp-n0.json"), "{\"out\": 3").expect("a file");
+    let (mgmt, listen) = (free(), free());
+    let mut program = program(&folder, &mgmt.to_string());
+    let told = std::fs::read_to_string(folder.join("told.json")).expect("written");
+    std::fs::write(folder.join("told.json"), told.replace("127.0.0.1:7400", &listen.to_string()))
+        .expect("a file");
+    let _door = Door(program.spawn().expect("the program starts"));
+    assert_eq!(call(mgmt, "GET /healthcheck"), "200 serving");
+    assert!(call(mgmt, "POST /backends/s-b/maint").starts_with("404"));
+    assert_eq!(call(mgmt, "POST /backends/s%2Da/maint"), "200 done");
+    assert_eq!(call(mgmt, "GET /backends/s-a/maint"), "405 no such call");
+}
--- a/gateway/tests/wire.rs
+++ b/gateway/tests/wire.rs
@@ -273,3 +273,32 @@
     "#]]
     .assert_eq(&all);
 }
+
+/// Guards: operators' calls come in pieces, too long, or not at all as they should.
+#[test]
+fn operators_calls_are_read_whole_or_said_to_be_wrong() {
+    use quillramp_gateway::wire::manage::{call, Call};
+    let whole = "POST /backends/s-1%2d2/maint?x=1 HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi";
+    for cut in 0..whole.len() {
+        assert_eq!(call(&whole.as_bytes()[..cut]), None, "{cut}");
+    }
+    assert_eq!(call(whole.as_bytes()), Some(Call::Out("s-1-2".into())));
+    let says = |text: &str| call(text.as_bytes());
+    let head = |line: &str, header: &str| says(&format!("{line} HTTP/1.1\r\n{header}\r\n"));
+    assert_eq!(head("GET /stats", ""), Some(Call::Stats));
+    for (line, header, status) in [
+        ("GET /nowhere", "", 404),
+        ("POST /backends//maint", "", 404),
+        ("POST /stats", "", 405),
+        ("GET /healthcheck/fail", "", 405),
+        ("POST /healthcheck/ok", "Content-Length: -1\r\n", 400),
+        ("POST /healthcheck/ok", "Content-Length: 99999999999999999999\r\n", 413),
+        ("POST /healthcheck/ok", "Transfer-Encoding: chunked\r\n", 411),
+        ("GET /stats", &"a: b\r\n".repeat(100), 431),
+        ("GET /stats", &format!("a: {}\r\n", "b".repeat(9000)), 431),
+        ("*1\r\n$4\r\nPING", "", 400),
+    ] {
+        assert_eq!(head(line, header), Some(Call::Wrong(status)), "{line} {}", header.len());
+    }
+    assert_eq!(says(&"G".repeat(9000)), Some(Call::Wrong(431)));
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,8 +1,7 @@
 //! All decisions of one front door. Interface: `types.rs`; what it remembers: `state.rs`. The caller tells
-//! facts (`listed`, `forgotten`, `unlisted`, `counted`, `peer_word`, `gone`, `streaming`) and asks three:
-//! `place` (where does this invocation go, or not yet, or never), `after` (what now, after this outcome),
-//! `wait` (how long until the next look, and whom to ask about again). It keeps the timer and what is held;
-//! errands (counter calls, words, cancels, log lines) leave with the answers.
+//! facts (by what returns nothing) and asks three: `place` (where does this invocation go, or not yet, or
+//! never), `after` (what now, after this outcome), `wait` (how long until the next look, and whom to ask about
+//! again). It keeps the timer and what is held; errands (calls, words, cancels, log lines) leave with answers.
 //! Quota: a customer's count on the counter service holds the units taken since its window began. The store
 //! it stands for regains `rate` a second, so the allowance is the burst plus that, and a count that lags
 //! behind what the store regained is lifted to it (a full store spills); so is a forgotten or a new count.
@@ -71,6 +70,7 @@
 pub struct Door {
     rng: Option<ChaCha8Rng>,
     doors: f64,
+    own: f64,   // processes of this door
     hears: f64, // words a second
     say: f64,   // words to one door, saved up
     said: f64,
@@ -122,7 +122,7 @@
         #[rustfmt::skip]
         let mut door = Door {
             rng, doors, hears, operations, plans, rules, may, counter, high, repeats, pace, asked: 1.0,
-            calls: pace * PACE_SPAN.0, hard, woke, half, base, ..Door::default()
+            calls: pace * PACE_SPAN.0, hard, woke, half, base, own: 1.0, ..Door::default()
         };
         if asks {
             door.ring(0.0, Bell::List);
@@ -142,14 +142,35 @@
             self.backends.values_mut().for_each(|b| b.is.standing = Standing::Gone);
         }
         for &is in entries {
-            let old = self.backends.remove(&is.tgt);
-            let (out, owes) = old.as_ref().map_or((0, 0.0), |b| (b.out, b.owes));
-            let b = old.filter(|b| b.is.started == is.started).map(|b| Backend { is, ..b });
-            let new = Backend { out, owes, ..Backend::new(now, is, self.hard.len()) };
-            self.backends.insert(is.tgt, b.unwrap_or(new));
+            let b = match self.backends.remove(&is.tgt) {
+                Some(b) if b.is.started == is.started => Backend { is, ..b },
+                Some(b) => b.anew(now, is),
+                None => Backend::new(now, is, self.hard.len()),
+            };
+            self.backends.insert(is.tgt, b);
         }
     }
 
+    /// An operator leaves a backend out, or uses it again: then it is cold, and what we knew of it is past.
+    pub fn by_hand(&mut self, now: f64, tgt: Tgt, out: bool) {
+        let Some(b) = self.backends.get_mut(&tgt) else { return };
+        if b.by_hand && !out {
+            *b = Backend { back: now, ..b.anew(now, b.is) };
+        }
+        b.by_hand = out;
+    }
+
+    /// How many listed backends get nothing new now: draining, out by hand or set aside.
+    pub fn avoided(&self) -> usize {
+        let listed = self.backends.values().filter(|b| b.is.standing != Standing::Gone);
+        listed.filter(|b| !b.ready() || b.aside.is_some()).count()
+    }
+
+    /// Another process of this door is there, or no longer: each has half of what is the door's own.
+    pub fn beside(&mut self, two: bool) {
+        self.own = if two { 2.0 } else { 1.0 };
+    }
+
     /// A gone backend that nothing held has to do with any more: its index may mean another one from now on.
     pub fn forgotten(&mut self, tgt: Tgt) {
         self.backends.remove(&tgt);
@@ -385,7 +406,7 @@
     /// The customer's account, made if need be, and brought into the window of now.
     fn account(&mut self, now: f64, (customer, plan, of): (Customer, usize, Doors)) -> &mut Account {
         let (p, doors) = (&self.plans[plan], of.number.max(1) as f64);
-        let (slice, ceiling) = (p.burst / doors, p.ceiling_slack / doors / 2.0);
+        let (slice, ceiling) = (p.burst / doors / self.own, p.ceiling_slack / doors / 2.0 / self.own);
         let (used, bell, gone) = (now, f64::INFINITY, p.rate * WINDOW);
         let new = Account { plan, doors, of, slice, ceiling, used, bell, ..Account::default() };
         let a = self.accounts.entry(customer).or_insert(new);
@@ -402,15 +423,15 @@
         let (customer, units, past) = (v.ask.customer, v.ask.units, now >= v.counter_until);
         self.account(now, (customer, v.ask.plan, v.ask.of));
         let a = self.accounts.get_mut(&customer).expect("just made");
-        let p = &self.plans[a.plan];
-        let (even, most) = (p.rate / a.doors, p.burst / a.doors);
+        let (p, doors) = (&self.plans[a.plan], a.doors * self.own);
+        let (even, most) = (p.rate / doors, p.burst / doors);
         a.slice = (a.slice + even * (now - a.used)).min(most);
         // What the slice regained the store did too.
         a.sliced = a.sliced.min(most - a.slice);
         // The count vouches for what is leased: it lies inside the quota. The rest is held under a ceiling
         // by an even share of a part of what that leaves above the quota (a count may lag: with all of it a
         // ceiling came to 99% of the rule), empty at start: a restart fills nothing.
-        let part = |all: f64| ABOVE * all / a.doors;
+        let part = |all: f64| ABOVE * all / doors;
         let (above, room) = (part(p.ceiling_rate - p.rate), part(p.ceiling_burst - p.burst));
         a.ceiling = (a.ceiling + above * (now - a.used)).min(room);
         let often = now - a.used < LAPSE;
@@ -482,7 +503,7 @@
         let v = self.invs.get_mut(&inv).expect("held");
         let (customer, past, hold) = (v.ask.customer, now >= v.counter_until, self.half[v.ask.operation]);
         let a = self.accounts.get_mut(&customer).expect("has an account");
-        let open = self.plans[a.plan].open as f64;
+        let (open, doors) = (self.plans[a.plan].open as f64, a.doors * self.own);
         if open <= 0.0 {
             return None;
         }
@@ -492,7 +513,7 @@
             return None;
         }
         // The even share of less than one place is one place for that part of the time.
-        let fits = now >= a.own_again && (a.out as f64) < (open / a.doors).ceil();
+        let fits = now >= a.own_again && (a.out as f64) < (open / doors).ceil();
         let asked = a.calls.iter().filter(|c| matches!(c.what, Errand::Place)).count();
         let least = if fits { plenty(self.pace) } else { 1.0 };
         let full = now < a.full_until;
@@ -501,7 +522,7 @@
             if full || !fits {
                 return Some(throttle(&self.may, hold / open));
             }
-            a.own_again = now + OWN * hold * (a.doors / open - 1.0).max(0.0);
+            a.own_again = now + OWN * hold * (doors / open - 1.0).max(0.0);
             a.out += 1;
             v.place = Some(0);
             return None;
@@ -689,7 +710,7 @@
     fn pick(&mut self, now: f64, (ask, luck): (&Ask, f64), tried: &[Tgt], kin: Kin) -> Option<Tgt> {
         let key = |b: &Backend, g| if g == Group::Zone { b.is.zone } else { b.is.cell };
         let kin = kin.and_then(|(g, t)| self.backends.get(&t).map(|b| (g, key(b, g))));
-        let fits = |b: &&Backend| b.is.standing == Standing::Ready && kin.is_none_or(|(g, k)| key(b, g) == k);
+        let fits = |b: &&Backend| b.ready() && kin.is_none_or(|(g, k)| key(b, g) == k);
         let ready = || self.backends.values().filter(fits);
         let Operation { latency_objective, effect } = self.operations[ask.operation];
         let (high, span) = (self.high[ask.operation], PRESSED * latency_objective);
@@ -746,7 +767,7 @@
 
     /// The part of its capacity that a backend has at least, by the time since its start.
     fn share(&self, now: f64, b: &Backend) -> f64 {
-        let age = b.is.started.map_or(f64::INFINITY, |s| now - s);
+        let age = now - b.is.started.map_or(b.back, |s| s.max(b.back));
         (self.rules.cold_from + (1.0 - self.rules.cold_from) * age / self.rules.warm_after).clamp(0.01, 1.0)
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -101,7 +101,9 @@
     pub quiet_since: f64,
     pub fails: u32,
     pub aside: Option<Aside>,
-    pub good: f64, // units answered, fading over the span
+    pub by_hand: bool, // an operator's word: nothing new
+    pub back: f64,     // when that last ended
+    pub good: f64,     // units answered, fading over the span
     pub good_at: f64,
     pub known: f64, // since when we have it on the list as it is
     pub praised: f64,
@@ -112,7 +114,17 @@
     /// One that is just known of, with so many kinds to prove.
     pub fn new(now: f64, is: Listed, kinds: usize) -> Backend {
         let (quiet_since, good_at, known, proven) = (now, now, now, vec![(now, 0); kinds]);
-        Backend { is, high: 1.0, quiet_since, good_at, known, proven, ..Backend::default() }
+        let back = f64::NEG_INFINITY;
+        Backend { is, high: 1.0, quiet_since, good_at, known, proven, back, ..Backend::default() }
+    }
+    /// The same machine after a restart: what is out there stays out, and an operator's word stands.
+    pub fn anew(&self, now: f64, is: Listed) -> Backend {
+        let Backend { out, owes, by_hand, back, .. } = *self;
+        Backend { out, owes, by_hand, back, ..Backend::new(now, is, self.proven.len()) }
+    }
+    /// It may get what is new.
+    pub fn ready(&self) -> bool {
+        self.is.standing == Standing::Ready && !self.by_hand
     }
     /// How often on end it has done well for this kind, if it was last seen after then.
     pub fn streak(&self, kind: usize, then: f64) -> u32 {
