Values over 64 KiB pass through as the client takes them; a slow command has its time

Change: the head binds the invocation to its delivery, the two connections run together with 64 KiB between them, 4 KiB when all streams hold an eighth of the memory. The module takes a backend's load off at the head of its answer. A half command has 2.5 s.

--- a/drill/src/host.rs
+++ b/drill/src/host.rs
@@ -78,7 +78,7 @@
                     match code {
                         90 => x.listed(now, &r)?,
                         120 => x.submitted(now, &r, reply)?,
-                        110 => x.streaming(&r)?,
+                        110 => x.streaming(now, &r)?,
                         80 => x.completed(now, &r, reply)?,
                         30 => x.aborted(now, &r),
                         20 => x.due(&r),
@@ -194,9 +194,9 @@
         Ok(())
     }
 
-    fn streaming(&mut self, r: &Record) -> Result<(), Malformed> {
+    fn streaming(&mut self, now: f64, r: &Record) -> Result<(), Malformed> {
         match self.by_id.get(&r.u32(1)) {
-            Some(&inv) => self.door.streaming(inv),
+            Some(&inv) => self.door.streaming(now, inv),
             None => return Err(r.wrong(format!("invocation {} is not held", r.u32(1)))),
         }
         Ok(())
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -20,7 +20,7 @@
 }
 
 /// Reads one RESP2 array of bulk strings; none at the end.
-fn command(from: &mut impl BufRead) -> Result<Option<Vec<String>>> {
+pub fn command(from: &mut impl BufRead) -> Result<Option<Vec<String>>> {
     let mut line = String::new();
     if from.read_line(&mut line)? == 0 {
         return Ok(None);
--- a/gateway/src/memory/backends.rs
+++ b/gateway/src/memory/backends.rs
@@ -11,7 +11,7 @@
         let held = self.held[inv].as_mut().expect("asked about a held invocation");
         let delivery = held.deliveries.len();
         let id = self.places[tgt].idle.pop();
-        held.deliveries.push(Sent { tgt, at: now, link: id });
+        held.deliveries.push(Sent { tgt, at: now, link: id, took: None });
         if held.ends.is_none() {
             // Whoever is still out when the client's time is up timed out, and the decisions hear of it.
             let until = held.ask.until;
@@ -127,8 +127,11 @@
 
     /// A link broke or never came up: whatever had not left for it whole has not run. An answer that can't be read is
     /// one all the same: its backend is no worse than one that says it failed.
-    pub(super) fn link_ended(&mut self, id: u64, unsent: bool, why: Why) {
+    pub(super) fn link_ended(&mut self, now: f64, id: u64, unsent: bool, why: Why) {
         let Some(mut link) = self.links.remove(&id) else { return };
+        if let Some((inv, delivery)) = link.carries.front().copied().flatten() {
+            self.broke_off(now, inv, delivery);
+        }
         self.places[link.tgt].idle.retain(|i| *i != id);
         let mut unsent = unsent || !link.up;
         while let Some(last) = link.carries.pop_back() {
--- a/gateway/src/memory/clients.rs
+++ b/gateway/src/memory/clients.rs
@@ -11,7 +11,7 @@
     pub(super) fn command(&mut self, now: f64, id: u64, command: Command) {
         let takes = self.takes_clients();
         let Some(client) = self.clients.get_mut(&id) else { return };
-        (client.used, client.said, client.half) = (now, true, false);
+        (client.used, client.said, client.half) = (now, true, None);
         let no = client.first + client.owed.len() as u64;
         let answer = match command {
             Command::Ping if takes => Answer::Pong,
@@ -63,8 +63,8 @@
     pub(super) fn take(&mut self, now: f64, (client, command): (u64, u64), call: Call, ask: Ask) {
         let call = Arc::new(call);
         self.open.insert(call.id);
-        let (deliveries, closed, ends) = (vec![], false, None);
-        let inv = self.held.put(Held { ask, call, client, command, deliveries, closed, ends });
+        let (deliveries, closed, ends, begun, passes) = (vec![], false, None, None, false);
+        let inv = self.held.put(Held { ask, call, client, command, deliveries, closed, ends, begun, passes });
         self.clients.get_mut(&client).expect("checked").owed.push_back((Some(inv), None));
         self.place(now, inv);
     }
@@ -74,7 +74,7 @@
         let Some(held) = self.held[inv].as_mut().filter(|h| !h.closed) else { return };
         held.closed = true;
         let counts = match answer {
-            Answer::Value(_) => &mut self.stats.completed,
+            Answer::Value(_) | Answer::Passed => &mut self.stats.completed,
             Answer::Busy { .. } => &mut self.stats.rejected,
             _ => &mut self.stats.failed,
         };
@@ -96,7 +96,10 @@
             client.first += 1;
             self.effects.push(Effect::Answer(id, answer));
         }
-        if client.owed.is_empty() && client.broken {
+        let next = client.owed.front().and_then(|(inv, _)| *inv);
+        if let Some(inv) = next {
+            self.pass_on(inv);
+        } else if client.owed.is_empty() && client.broken {
             self.clients.remove(&id);
             self.close(Conn::Client(id), Why::BadFraming);
             self.exit_when_done();
--- a/gateway/src/memory/drain.rs
+++ b/gateway/src/memory/drain.rs
@@ -62,7 +62,7 @@
         self.parting
             .extend(self.clients.iter().filter(|(_, c)| c.owed.is_empty() && c.said).map(|(id, _)| *id));
         if !self.parties.passed || !self.stopping {
-            let silent = self.clients.iter().filter(|(_, c)| !c.said && !c.half);
+            let silent = self.clients.iter().filter(|(_, c)| !c.said && c.half.is_none());
             self.parting.extend(silent.map(|(id, _)| *id));
         }
         if self.parties.passed && self.stopping {
@@ -93,7 +93,7 @@
                 self.clients.remove(&id);
                 self.close(Conn::Client(id), self.why());
                 self.exit_when_done();
-            } else if !client.half {
+            } else if client.half.is_none() {
                 self.effects.push(Effect::Part(id));
             }
         }
--- a/gateway/src/memory/event.rs
+++ b/gateway/src/memory/event.rs
@@ -45,6 +45,10 @@
     Draining,
     /// An operator's call was answered, or not finished in time.
     Called,
+    /// A value broke off on its way through.
+    CutOff,
+    /// A value on its way through stood still.
+    Stalled,
 }
 
 impl Why {
@@ -65,6 +69,8 @@
             Why::Stopping => "stopping",
             Why::Draining => "draining",
             Why::Called => "called",
+            Why::CutOff => "cut-off",
+            Why::Stalled => "stalled",
         }
     }
 }
@@ -103,6 +109,10 @@
     Command(u64, Command),
     /// A reply, and whether more came right behind it.
     Reply(u64, Reply, bool),
+    /// The head of a value that is to pass through, and how long that is; then that it has; and what stands behind.
+    Begun(u64, usize),
+    Passed(u64),
+    Rest(u64, Option<f64>, Option<Vec<u8>>, bool),
     Response(Conn, Response),
     /// The beginning of a message has come, and not yet the rest.
     Partial(Conn),
@@ -143,6 +153,10 @@
     Mute(u64),
     /// The call, with the milliseconds that we shall wait.
     Deliver(u64, Arc<Call>, u64),
+    /// What has begun on this backend's connection passes to that client, or to nobody.
+    Pass(u64, Option<u64>),
+    /// If nothing has passed since this was last asked for, the connection ends.
+    Stalled(u64),
     Request(Conn, Request),
     Connect(Conn, SocketAddr),
     /// What was written before it leaves first.
--- a/gateway/src/memory/kept.rs
+++ b/gateway/src/memory/kept.rs
@@ -10,6 +10,8 @@
     pub tgt: Tgt,
     pub at: f64,
     pub link: Option<u64>,
+    /// How long its answer took to begin.
+    pub took: Option<f64>,
 }
 
 /// What came beside an answer: the true units, and its backend's load.
@@ -28,8 +30,11 @@
     pub command: u64,
     pub deliveries: Vec<Sent>,
     pub closed: bool,
-    /// The timer at which what is still out has timed out, from the first delivery on.
+    /// The timer at which what is still out has timed out, from the first delivery on; then for a stream.
     pub ends: Option<Timer>,
+    /// The delivery whose value is to pass through, and whether it does: it is its turn on the client's connection.
+    pub begun: Option<usize>,
+    pub passes: bool,
 }
 
 impl Held {
@@ -47,8 +52,8 @@
     pub used: f64,
     /// It has said something.
     pub said: bool,
-    /// It has begun a command that is not whole.
-    pub half: bool,
+    /// Since when it has been at a command that is not whole.
+    pub half: Option<f64>,
     /// Its framing broke: it closes once all is answered.
     pub broken: bool,
     /// Nothing more is read from it: it closes so, too.
@@ -120,6 +125,8 @@
 pub enum Due {
     Dial(u64),
     GiveUp(Inv),
+    Stalled(Inv),
+    Half(u64),
     Counter(u64, u64),
     Watch(u64),
     Sweep,
--- a/gateway/src/memory/mod.rs
+++ b/gateway/src/memory/mod.rs
@@ -11,3 +11,4 @@
 mod peers;
 pub mod reducer;
 mod room;
+mod streams;
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -124,11 +124,14 @@
             Event::Parted(id) => self.parted(id),
             Event::Command(id, command) => self.command(now, id, command),
             Event::Reply(id, reply, more) => self.replied(now, id, reply, more),
+            Event::Begun(id, _) => self.begun(now, id),
+            Event::Passed(id) => self.passed(now, id),
+            Event::Rest(id, billed, report, more) => self.rest_of(now, id, (billed, report), more),
             Event::Response(Conn::Counter(id), r) => self.counted(now, id, r),
             Event::Response(Conn::List(id), r) if self.list == Some(id) => self.watched(now, id, r),
             Event::Response(..) => {}
             Event::Partial(Conn::Client(id)) => {
-                self.clients.entry(id).and_modify(|c| c.half = true);
+                self.half(now, id);
             }
             Event::Partial(Conn::Backend(id)) => self.unasked(id),
             Event::Partial(Conn::Counter(id)) => self.counter_unasked(id),
@@ -142,7 +145,7 @@
                 self.log_end(conn, why);
                 match conn {
                     Conn::Client(id) => self.client_gone(now, id),
-                    Conn::Backend(id) => self.link_ended(id, unsent, why),
+                    Conn::Backend(id) => self.link_ended(now, id, unsent, why),
                     Conn::Counter(id) => self.counter_ended(now, id, unsent, why),
                     Conn::List(id) if self.list == Some(id) => self.watch_failed(now),
                     Conn::List(_) => {}
@@ -214,7 +217,7 @@
             Due::Dial(id) => {
                 if self.links.get(&id).is_some_and(|l| !l.up) {
                     self.close(Conn::Backend(id), Why::DialTimeout);
-                    self.link_ended(id, true, Why::DialTimeout);
+                    self.link_ended(now, id, true, Why::DialTimeout);
                 }
             }
             // The timer goes with the invocation, so the index is still its own.
@@ -224,6 +227,8 @@
                     self.give_up(inv, i, Ending::TimedOut);
                 }
             }
+            Due::Half(id) => self.half_too_long(now, id),
+            Due::Stalled(inv) => self.stalled(now, inv),
             Due::Counter(id, call) => self.counter_late(now, id, call),
             Due::Watch(id) => {
                 if self.list == Some(id) {
@@ -278,11 +283,11 @@
     }
 
     /// Tells the decisions of deliveries that ended, and carries out what they say.
-    fn conclude(&mut self, now: f64) {
+    pub(super) fn conclude(&mut self, now: f64) {
         while let Some((inv, delivery, ending, Beside { billed: true_units, report })) = self.ended.pop() {
             let Some(held) = self.held[inv].as_ref() else { continue };
             let sent = &held.deliveries[delivery];
-            let (tgt, took, closed) = (sent.tgt, now - sent.at, held.closed);
+            let (tgt, took, closed) = (sent.tgt, sent.took.unwrap_or(now - sent.at), held.closed);
             let outcome = Outcome { delivery, tgt, ending, took, closed, true_units, report };
             let answer = self.door.after(now, inv, &outcome);
             self.carry_out(now, inv, answer);
--- a/gateway/src/memory/room.rs
+++ b/gateway/src/memory/room.rs
@@ -9,8 +9,11 @@
 /// The counter closes idle connections after this, at the latest.
 const COUNTER_IDLE: f64 = 10.0;
 /// A client that has said nothing for this long, and is owed nothing, may be let go; it is if it never said
-/// anything, stopped in mid-command or descriptors run short, else after the longer time.
+/// anything or descriptors run short, else after the longer time.
 const CLIENT_IDLE: (f64, f64) = (2.0, 10.0);
+/// A command may take so long from its first byte to its last: a slow client may need 2 s for it, and one that will
+/// never end it is to be let go within 3 s.
+const HALF: f64 = 2.5;
 /// A client that is just connected may need so long to say something.
 const ARRIVING: f64 = 0.05;
 /// How often it is looked for what stands idle.
@@ -44,7 +47,8 @@
     /// Closes what stands idle: clients that only hold on to their connection, then the backend connection that has
     /// longest, for it costs a handshake to have it again, then any client's; false if there was none.
     pub(super) fn make_room(&mut self, now: f64) -> bool {
-        let held_on = |c: &Client| c.used < now - if c.said { CLIENT_IDLE.0 } else { ARRIVING };
+        let held_on =
+            |c: &Client| c.half.is_none() && c.used < now - if c.said { CLIENT_IDLE.0 } else { ARRIVING };
         if let Some(id) = self.idle_client(held_on) {
             self.let_go(id, Why::Crowded);
             return true;
@@ -63,6 +67,25 @@
         spared.is_some()
     }
 
+    /// The beginning of a command has come.
+    pub(super) fn half(&mut self, now: f64, id: u64) {
+        if let Some(client) = self.clients.get_mut(&id).filter(|c| c.half.is_none()) {
+            client.half = Some(now);
+            self.at(now + HALF, Due::Half(id));
+        }
+    }
+
+    pub(super) fn half_too_long(&mut self, now: f64, id: u64) {
+        let Some(client) = self.clients.get(&id) else { return };
+        match client.half.filter(|_| client.owed.is_empty()) {
+            Some(since) if now - since > HALF - 1e-3 => self.let_go(id, Why::Idle),
+            // Another command by now has a timer of its own.
+            Some(_) => {}
+            None if client.half.is_some() => drop(self.at(now + HALF, Due::Half(id))),
+            None => {}
+        }
+    }
+
     fn let_go(&mut self, id: u64, why: Why) {
         self.clients.remove(&id);
         self.close(Conn::Client(id), why);
@@ -72,10 +95,11 @@
     /// nothing are let go. Done again and again.
     pub(super) fn sweep(&mut self, now: f64) {
         let crowded = 2 * self.descriptors() > self.parties.sockets;
-        let long = |c: &Client| if c.said && !c.half && !crowded { CLIENT_IDLE.1 } else { CLIENT_IDLE.0 };
+        let long = |c: &Client| if c.said && !crowded { CLIENT_IDLE.1 } else { CLIENT_IDLE.0 };
         // A stopping process, with another to accept, ends no connection that nobody has asked anything on.
         let spares = |c: &Client| self.stopping && self.parties.passed && !c.said;
-        let idle = self.clients.iter().filter(|(_, c)| c.owed.is_empty() && c.used < now - long(c));
+        let between = |c: &Client| c.owed.is_empty() && c.half.is_none();
+        let idle = self.clients.iter().filter(|(_, c)| between(c) && c.used < now - long(c));
         let idle = idle.filter(|(_, c)| !spares(c));
         let mut idle: Vec<u64> = idle.map(|(id, _)| *id).collect();
         idle.sort_unstable();
--- /dev/null
+++ b/gateway/src/memory/streams.rs
@@ -0,0 +1,93 @@
+//! Values too long to be held: they pass from a backend's connection to the client's, when it is their turn there.
+use super::event::{Conn, Effect, Why};
+use super::kept::*;
+use super::reducer::Reducer;
+use crate::wire::resp::{figure, Answer};
+use quillramp::facts;
+use quillramp::types::*;
+
+/// A value of which nothing moves for so long is given up. The machine holds some megabytes for a slow client, and
+/// tells of room only when much of that has gone.
+const STALL: f64 = 30.0;
+
+impl Reducer {
+    /// A value has begun: whatever else is out for its invocation is given up, and nothing is delivered again.
+    pub(super) fn begun(&mut self, now: f64, id: u64) {
+        let Some(link) = self.links.get(&id) else { return };
+        let Some(&front) = link.carries.front() else { return self.unasked(id) };
+        let Some((inv, delivery)) = front else { return self.effects.push(Effect::Pass(id, None)) };
+        let Some(held) = self.held[inv].as_mut().filter(|h| !h.closed && h.begun.is_none()) else {
+            return self.effects.push(Effect::Pass(id, None));
+        };
+        let took = now - held.deliveries[delivery].at;
+        (held.begun, held.deliveries[delivery].took) = (Some(delivery), Some(took));
+        let (others, ends) = (held.deliveries.len(), held.ends.take());
+        ends.map(|key| self.timers.remove(&key));
+        for other in (0..others).filter(|o| *o != delivery) {
+            self.give_up(inv, other, Ending::Cancelled);
+        }
+        self.conclude(now);
+        self.door.streaming(now, inv);
+        let ends = self.at(now + STALL, Due::Stalled(inv));
+        self.held[inv].as_mut().expect("just found").ends = Some(ends);
+        self.pass_on(inv);
+    }
+
+    /// Lets a value pass if it has begun and it is its turn.
+    pub(super) fn pass_on(&mut self, inv: Inv) {
+        let Some(held) = self.held[inv].as_mut().filter(|h| !h.closed && !h.passes) else { return };
+        let link = held.begun.and_then(|d| held.deliveries[d].link);
+        let front = self.clients.get(&held.client).and_then(|c| c.owed.front()).and_then(|(inv, _)| *inv);
+        if let Some(id) = link.filter(|_| front == Some(inv)) {
+            held.passes = true;
+            self.effects.push(Effect::Pass(id, Some(held.client)));
+        }
+    }
+
+    /// All of the value is on its way to the client.
+    pub(super) fn passed(&mut self, now: f64, id: u64) {
+        let front = self.links.get(&id).and_then(|l| l.carries.front().copied().flatten());
+        if let Some((inv, _)) = front {
+            self.answer(now, inv, Answer::Passed);
+        }
+    }
+
+    /// What stood behind the value: its delivery has ended.
+    pub(super) fn rest_of(&mut self, now: f64, id: u64, beside: (Option<f64>, Option<Vec<u8>>), more: bool) {
+        let Some(front) = self.links.get_mut(&id).and_then(|l| l.carries.pop_front()) else { return };
+        if let Some((inv, delivery)) = front {
+            let (billed, report) = beside;
+            let report = report.and_then(|r| facts::report(&self.about.report, |_, name| figure(&r, name)));
+            self.end_delivery(inv, delivery, Ending::Succeeded, Beside { billed, report });
+        }
+        if more {
+            self.unasked(id);
+        }
+        self.rest(now, id);
+    }
+
+    /// A backend's connection ended under a value: what has passed of it can't be taken back, so the client's
+    /// connection ends too, and it can tell.
+    pub(super) fn broke_off(&mut self, now: f64, inv: Inv, delivery: usize) {
+        let Some(held) = self.held[inv].as_mut() else { return };
+        if held.closed || held.begun != Some(delivery) {
+            return;
+        }
+        if !held.passes {
+            return self.answer(now, inv, Answer::Error("failed".into()));
+        }
+        held.closed = true;
+        self.stats.failed[held.ask.operation] += 1;
+        let client = held.client;
+        self.close(Conn::Client(client), Why::CutOff);
+        self.client_gone(now, client);
+    }
+
+    pub(super) fn stalled(&mut self, now: f64, inv: Inv) {
+        let ends = self.at(now + STALL, Due::Stalled(inv));
+        let Some(held) = self.held[inv].as_mut() else { return };
+        held.ends = Some(ends);
+        let link = held.begun.and_then(|d| held.deliveries[d].link);
+        self.effects.extend(link.map(Effect::Stalled));
+    }
+}
--- a/gateway/src/sockets/drive.rs
+++ b/gateway/src/sockets/drive.rs
@@ -117,6 +117,20 @@
                     keeper.write(id, change);
                 }
             }
+            Effect::Pass(id, to) => {
+                let links = self.links.0.borrow();
+                if let Some(from) = links.get(&Conn::Backend(id)) {
+                    from.pass(to.and_then(|to| links.get(&Conn::Client(to)).cloned()));
+                    batch.written.extend(to.map(Conn::Client));
+                }
+            }
+            Effect::Stalled(id) => {
+                let conn = Conn::Backend(id);
+                if self.links.0.borrow().get(&conn).is_some_and(|l| !l.moved()) {
+                    self.end(conn, batch);
+                    self.common.inbox.push(Event::Ended { conn, why: Why::Stalled, unsent: false });
+                }
+            }
             Effect::Mute(id) => {
                 if let Some(link) = self.links.0.borrow().get(&Conn::Client(id)) {
                     link.mute();
--- a/gateway/src/sockets/link.rs
+++ b/gateway/src/sockets/link.rs
@@ -19,8 +19,25 @@
 /// So much may wait to be written, and so many of a client's commands for their answers, before reading stops.
 const UNREAD: usize = 1024 * 1024;
 const OWED: usize = 512;
-/// The part of the memory that clients' unfinished commands may take.
+/// The part of the memory that clients' unfinished commands may take, and that what passes through may.
 const HALF: usize = 8;
+const PASSING: usize = 8;
+/// So much of a value may wait for its client; so little once all that pass have their part of the memory.
+const AHEAD: usize = 64 * 1024;
+const LITTLE: usize = 4 * 1024;
+
+/// Where a backend's connection is in a reply.
+#[derive(Clone)]
+enum Stage {
+    /// At its beginning.
+    Head,
+    /// A long value has begun, and waits for the word to pass.
+    Waits { left: usize },
+    /// So much of it is still to pass: to a client, or to nobody.
+    Passes { left: usize, to: Option<Arc<Link>> },
+    /// Behind the value.
+    Rest,
+}
 
 /// What all connections share.
 pub struct Common {
@@ -31,6 +48,9 @@
     half: AtomicUsize,
     most_half: usize,
     unread: usize,
+    /// How many bytes of values on their way through wait for clients, and how many should.
+    passing: AtomicUsize,
+    most_passing: usize,
     /// Accepting waits for a descriptor.
     pub short: AtomicBool,
     pub acceptors: AtomicRefCell<Vec<WaitIoWaker>>,
@@ -49,7 +69,19 @@
         let (half, most_half, unread) = (AtomicUsize::new(0), memory / HALF, UNREAD.min(memory / HALF / 16));
         let (short, acceptors, written) =
             (AtomicBool::new(false), AtomicRefCell::default(), AtomicUsize::new(0));
-        Arc::new(Common { inbox, scratch, half, most_half, unread, short, acceptors, written })
+        let (passing, most_passing) = (AtomicUsize::new(0), memory / PASSING);
+        Arc::new(Common {
+            inbox,
+            scratch,
+            half,
+            most_half,
+            unread,
+            passing,
+            most_passing,
+            short,
+            acceptors,
+            written,
+        })
     }
 }
 
@@ -67,6 +99,14 @@
     muted: AtomicBool,
     /// Deliveries written to a backend's connection that have not all left.
     deliveries: AtomicUsize,
+    /// A backend's: where it is in a reply; it was told to go on; something has passed; it waits for its client.
+    stage: AtomicRefCell<Stage>,
+    resumed: AtomicBool,
+    moved: AtomicBool,
+    waits: AtomicBool,
+    /// A client's: what passes to it, and how much of that is counted as waiting.
+    source: AtomicRefCell<Option<Arc<Link>>>,
+    counted: AtomicUsize,
     common: Arc<Common>,
 }
 
@@ -91,7 +131,27 @@
         let (waker, common) = (stream.waker(), common.clone());
         let (out, owed, closed) = (AtomicRefCell::default(), AtomicUsize::new(0), AtomicBool::new(false));
         let (muted, deliveries) = (AtomicBool::new(false), AtomicUsize::new(0));
-        let link = Arc::new(Link { conn, to, stream, waker, out, owed, closed, muted, deliveries, common });
+        let (stage, source) = (AtomicRefCell::new(Stage::Head), AtomicRefCell::default());
+        let [resumed, moved, waits] = [(); 3].map(|()| AtomicBool::new(false));
+        let counted = AtomicUsize::new(0);
+        let link = Arc::new(Link {
+            conn,
+            to,
+            stream,
+            waker,
+            out,
+            owed,
+            closed,
+            muted,
+            deliveries,
+            stage,
+            resumed,
+            moved,
+            waits,
+            source,
+            counted,
+            common,
+        });
         let own = link.clone();
         may::go!(move || own.serve(up));
         Ok(link)
@@ -129,6 +189,82 @@
         if out.is_empty() && out.capacity() > KEPT {
             *out = Vec::new();
         }
+        let left = out.len();
+        drop(out);
+        if let Some(source) = &*self.source.borrow() {
+            self.count(left);
+            if left == 0 && source.waits.swap(false, Ordering::Relaxed) {
+                source.waker.wakeup();
+            }
+        }
+    }
+
+    /// How much of what passes to this client waits.
+    fn count(&self, now: usize) {
+        let before = self.counted.swap(now, Ordering::Relaxed);
+        let all = self.common.passing.load(Ordering::Relaxed) + now - before;
+        self.common.passing.store(all, Ordering::Relaxed);
+    }
+
+    /// What has begun here passes to this client from now on, or to nobody.
+    pub fn pass(self: &Arc<Link>, to: Option<Arc<Link>>) {
+        let Stage::Waits { left } = *self.stage.borrow() else { return };
+        if let Some(to) = &to {
+            to.out.borrow_mut().extend_from_slice(format!("${left}\r\n").as_bytes());
+            *to.source.borrow_mut() = Some(self.clone());
+        }
+        *self.stage.borrow_mut() = Stage::Passes { left, to };
+        self.resumed.store(true, Ordering::Relaxed);
+        self.waker.wakeup();
+    }
+
+    /// Whether something has passed since this was last asked.
+    pub fn moved(&self) -> bool {
+        self.moved.swap(false, Ordering::Relaxed)
+    }
+
+    /// How much of a value may be read now; all of it where nobody waits for it.
+    fn ahead(&self) -> usize {
+        match &*self.stage.borrow() {
+            Stage::Head | Stage::Rest => SCRATCH,
+            Stage::Waits { .. } => 0,
+            Stage::Passes { to: Some(to), .. } if !to.closed.load(Ordering::Relaxed) => {
+                let crowded = self.common.passing.load(Ordering::Relaxed) > self.common.most_passing;
+                match to.out.borrow().len() {
+                    0 if crowded => LITTLE,
+                    waiting if crowded || waiting >= AHEAD => 0,
+                    waiting => AHEAD - waiting,
+                }
+            }
+            Stage::Passes { .. } => SCRATCH,
+        }
+    }
+
+    /// Passes the beginning of these bytes on, as far as they belong to the value; how many that were.
+    fn pass_bytes(&self, bytes: &[u8]) -> Result<usize, Why> {
+        let mut stage = self.stage.borrow_mut();
+        let Stage::Passes { left, to } = &mut *stage else { return Ok(0) };
+        let n = bytes.len().min(*left);
+        *left -= n;
+        self.moved.store(true, Ordering::Relaxed);
+        let end = if *left == 0 { bytes.get(n..n + 2) } else { None };
+        if end.is_some_and(|end| end != b"\r\n") {
+            return Err(Why::BadFraming);
+        }
+        if let Some(to) = to.as_ref().filter(|to| !to.closed.load(Ordering::Relaxed)) {
+            let mut out = to.out.borrow_mut();
+            out.extend_from_slice(&bytes[..n]);
+            out.extend_from_slice(end.unwrap_or_default());
+            drop(out);
+            to.flush();
+        }
+        let Some(end) = end else { return Ok(n) };
+        if let Some(to) = to.take() {
+            to.count(0);
+            *to.source.borrow_mut() = None;
+        }
+        *stage = Stage::Rest;
+        Ok(n + end.len())
     }
 
     /// One more delivery waits to leave.
@@ -161,6 +297,9 @@
 
     /// A client that reads no answers, or asks far ahead of them, is not read from either.
     fn full(&self) -> bool {
+        if matches!(self.conn, Conn::Backend(_)) {
+            return self.ahead() == 0;
+        }
         let muted = self.muted.load(Ordering::Relaxed) && matches!(self.conn, Conn::Client(_));
         muted || self.out.borrow().len() > self.common.unread || self.owed.load(Ordering::Relaxed) >= OWED
     }
@@ -170,12 +309,27 @@
         self.closed.store(true, Ordering::Relaxed);
         self.flush();
         self.waker.wakeup();
+        if let Some(source) = &*self.source.borrow() {
+            source.waker.wakeup(); // it has nobody to wait for now
+        }
     }
 
     fn serve(&self, up: bool) {
         let mut got = Vec::new();
         self.read_on(up, &mut got);
         self.keep(got.len(), 0);
+        // Nothing passes here any more, in either direction.
+        self.closed.store(true, Ordering::Relaxed);
+        self.count(0);
+        if let Some(source) = self.source.borrow_mut().take() {
+            source.waker.wakeup();
+        }
+        if let Stage::Passes { to: Some(to), .. } =
+            std::mem::replace(&mut *self.stage.borrow_mut(), Stage::Head)
+        {
+            to.count(0);
+            *to.source.borrow_mut() = None;
+        }
     }
 
     /// Counts what is kept of an unfinished command; false if that is too much for all clients together.
@@ -215,13 +369,22 @@
                 deaf = true;
             }
             unread |= flags & READABLE;
-            let ended = unread & ENDED != 0;
-            if unread != 0 && (!self.full() || ended) {
+            if self.resumed.swap(false, Ordering::Relaxed) && !got.is_empty() {
+                match self.decode(got, &mut deaf) {
+                    Ok(done) => drop(got.drain(..done)),
+                    Err(why) => return self.ended(why),
+                }
+            }
+            // What a backend wrote before its end passes only as fast as the client takes it.
+            let (ended, passes) = (unread & ENDED != 0, matches!(self.conn, Conn::Backend(_)));
+            if unread != 0 && (!self.full() || ended && !passes) {
                 match self.read(ended, got, &mut deaf) {
                     Ok(true) => unread = 0,
                     Ok(false) => {}
                     Err(why) => return self.ended(why),
                 }
+            } else if unread != 0 {
+                self.waits.store(true, Ordering::Relaxed);
             }
         }
     }
@@ -239,7 +402,12 @@
     fn read(&self, to_the_end: bool, got: &mut Vec<u8>, deaf: &mut bool) -> Result<bool, Why> {
         let mut scratch = self.common.scratch.borrow_mut();
         loop {
-            match self.stream.inner().read(&mut scratch) {
+            let room = if matches!(self.conn, Conn::Backend(_)) { self.ahead() } else { SCRATCH };
+            if room == 0 {
+                self.waits.store(true, Ordering::Relaxed);
+                return Ok(false);
+            }
+            match self.stream.inner().read(&mut scratch[..room]) {
                 Ok(0) => return Err(Why::Closed),
                 Ok(_) if *deaf => {}
                 Ok(n) => {
@@ -262,8 +430,9 @@
                     if got.is_empty() && got.capacity() > KEPT {
                         *got = Vec::new();
                     }
-                    if !to_the_end && (n < scratch.len() || self.full()) {
-                        return Ok(n < scratch.len());
+                    if !to_the_end && (n < room || self.full()) {
+                        self.waits.store(self.full(), Ordering::Relaxed);
+                        return Ok(n < room);
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(true),
@@ -290,8 +459,36 @@
                     }
                 },
                 Conn::Backend(id) => {
-                    let m = resp::reply(rest).map_err(|_| Why::BadFraming)?;
-                    m.map(|(m, n)| (Event::Reply(id, m, n < rest.len()), n))
+                    let stage = self.stage.borrow().clone();
+                    match stage {
+                        Stage::Waits { .. } => return Ok(done),
+                        Stage::Passes { left, .. } => {
+                            let n = self.pass_bytes(rest)?;
+                            done += n;
+                            if n > left {
+                                self.tell(Event::Passed(id));
+                            } else if n == 0 {
+                                return Ok(done); // the end of the value is in two pieces
+                            }
+                            continue;
+                        }
+                        Stage::Rest => {
+                            let m = resp::tail(rest).map_err(|_| Why::BadFraming)?;
+                            let Some(((billed, report), n)) = m else { return Ok(done) };
+                            *self.stage.borrow_mut() = Stage::Head;
+                            Some((Event::Rest(id, billed, report, n < rest.len()), n))
+                        }
+                        Stage::Head => match resp::head(rest).map_err(|_| Why::BadFraming)? {
+                            Some((left, n)) => {
+                                *self.stage.borrow_mut() = Stage::Waits { left };
+                                Some((Event::Begun(id, left), n))
+                            }
+                            None => {
+                                let m = resp::reply(rest).map_err(|_| Why::BadFraming)?;
+                                m.map(|(m, n)| (Event::Reply(id, m, n < rest.len()), n))
+                            }
+                        },
+                    }
                 }
                 Conn::Operator(id) => {
                     let call = manage::call(rest).map(|call| (Event::Call(id, call), rest.len()));
--- a/gateway/src/wire/resp.rs
+++ b/gateway/src/wire/resp.rs
@@ -2,8 +2,9 @@
 use super::{Broken, Decoded};
 use std::ops::Range;
 
-/// The longest value.
+/// The longest value that is held whole, and the longest that passes.
 pub const VALUE: usize = 64 * 1024;
+pub const LONG: usize = 4 * 1024 * 1024;
 const WORDS: usize = 16;
 const LINE: usize = 1024;
 /// The longest message: a value, and the short words round it.
@@ -77,13 +78,18 @@
 pub enum Answer {
     Pong,
     Value(Vec<u8>),
-    Busy { retry_after_ms: Option<u64> },
+    /// A value that has passed on its way here.
+    Passed,
+    Busy {
+        retry_after_ms: Option<u64>,
+    },
     Error(String),
 }
 
 impl Answer {
     pub fn encode(&self, out: &mut Vec<u8>) {
         match self {
+            Answer::Passed => {}
             Answer::Pong => out.extend_from_slice(b"+PONG\r\n"),
             Answer::Value(value) => {
                 out.extend_from_slice(format!("${}\r\n", value.len()).as_bytes());
@@ -254,6 +260,31 @@
     })
 }
 
+/// The head of a reply whose value is too long to be held: how long it is.
+pub fn head(bytes: &[u8]) -> Decoded<usize> {
+    if bytes.first() != Some(&b'*') {
+        return Ok(None);
+    }
+    let Some((Some(3), at)) = array(bytes)? else { return Ok(None) };
+    let Some((text, from)) = line(bytes, at)? else { return Ok(None) };
+    let length = match text.split_first() {
+        Some((b'$', length)) => number(length)?,
+        _ => return Ok(None),
+    };
+    Ok((VALUE as i64 + 1..=LONG as i64).contains(&length).then_some((length as usize, from)))
+}
+
+/// What stands behind a value that has passed: figures on use and a report.
+pub fn tail(bytes: &[u8]) -> Decoded<(Option<f64>, Option<Vec<u8>>)> {
+    if bytes.is_empty() {
+        return Ok(None);
+    }
+    let Some((use_of, at)) = aside(bytes, 0)? else { return Ok(None) };
+    let Some((report, at)) = aside(bytes, at)? else { return Ok(None) };
+    let billed = use_of.and_then(|u| figure(&bytes[u], "cost"));
+    Ok(Some(((billed, report.map(|r| bytes[r].to_vec())), at)))
+}
+
 /// One reply of a backend.
 pub fn reply(bytes: &[u8]) -> Decoded<Reply> {
     match bytes.first() {
@@ -265,11 +296,8 @@
             }
             let Some((value, at)) = bulk(bytes, at)? else { return Ok(None) };
             let value = value.ok_or(Broken("no value"))?;
-            let Some((use_of, at)) = aside(bytes, at)? else { return Ok(None) };
-            let Some((report, at)) = aside(bytes, at)? else { return Ok(None) };
-            let billed = use_of.and_then(|u| figure(&bytes[u], "cost"));
-            let report = report.map(|r| bytes[r].to_vec());
-            Ok(Some((Reply::Value { value: bytes[value].to_vec(), billed, report }, at)))
+            let Some(((billed, report), n)) = tail(&bytes[at..])? else { return Ok(None) };
+            Ok(Some((Reply::Value { value: bytes[value].to_vec(), billed, report }, at + n)))
         }
         Some(b'-') => {
             let Some((text, next)) = line(bytes, 0)? else { return Ok(None) };
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,7 +1,8 @@
 //! All decisions of one front door. Interface: `types.rs`; what it remembers: `state.rs`. The caller tells
-//! facts (by what returns nothing) and asks three: `place` (where does this invocation go, or not yet, or
-//! never), `after` (what now, after this outcome), `wait` (how long until the next look, and whom to ask about
-//! again). It keeps the timer and what is held; errands (calls, words, cancels, log lines) leave with answers.
+//! facts (by what returns nothing) and asks three: `place` (where does this invocation go, or not yet,
+//! or never), `after` (what now, after this outcome), `wait` (how long until the next look, and whom to ask
+//! about again). It keeps the timer and what is held; errands (calls, words, cancels, log lines) leave with
+//! the answers.
 //! Quota: a customer's count on the counter service holds the units taken since its window began. The store
 //! it stands for regains `rate` a second, so the allowance is the burst plus that, and a count that lags
 //! behind what the store regained is lifted to it (a full store spills); so is a forgotten or a new count.
@@ -142,28 +143,22 @@
             self.backends.values_mut().for_each(|b| b.is.standing = Standing::Gone);
         }
         for &is in entries {
-            let b = match self.backends.remove(&is.tgt) {
-                Some(b) if b.is.started == is.started => Backend { is, ..b },
-                Some(b) => b.anew(now, is),
-                None => Backend::new(now, is, self.hard.len()),
-            };
+            let old = self.backends.remove(&is.tgt);
+            let b = old.unwrap_or_else(|| Backend::new(now, is, self.hard.len()));
+            let b = if b.is.started == is.started { Backend { is, ..b } } else { b.anew(now, is) };
             self.backends.insert(is.tgt, b);
         }
     }
 
     /// An operator leaves a backend out, or uses it again: then it is cold, and what we knew of it is past.
     pub fn by_hand(&mut self, now: f64, tgt: Tgt, out: bool) {
-        let Some(b) = self.backends.get_mut(&tgt) else { return };
-        if b.by_hand && !out {
-            *b = Backend { back: now, ..b.anew(now, b.is) };
-        }
-        b.by_hand = out;
+        self.backends.entry(tgt).and_modify(|b| b.by_hand(now, out));
     }
 
     /// How many listed backends get nothing new now: draining, out by hand or set aside.
     pub fn avoided(&self) -> usize {
-        let listed = self.backends.values().filter(|b| b.is.standing != Standing::Gone);
-        listed.filter(|b| !b.ready() || b.aside.is_some()).count()
+        let avoided = |b: &&Backend| b.is.standing != Standing::Gone && (!b.ready() || b.aside.is_some());
+        self.backends.values().filter(avoided).count()
     }
 
     /// Another process of this door is there, or no longer: each has half of what is the door's own.
@@ -201,10 +196,13 @@
         }
     }
 
-    /// A stream has begun: the invocation is bound to its delivery and owes nothing by the clock.
-    pub fn streaming(&mut self, inv: Inv) {
-        let Some(v) = self.invs.get_mut(&inv) else { return };
-        (v.look, v.ask.until) = (f64::INFINITY, f64::INFINITY);
+    /// A stream has begun: the invocation owes nothing by the clock, and its backend has done its work.
+    pub fn streaming(&mut self, now: f64, inv: Inv) {
+        let Some((tgt, units)) = self.invs.get_mut(&inv).and_then(Invocation::stream) else { return };
+        if let Some(b) = self.backends.get_mut(&tgt) {
+            b.lighter(units);
+            b.quiet_since = now;
+        }
     }
 
     /// What came of a counter call.
@@ -249,14 +247,14 @@
         let Some(v) = self.invs.get_mut(&inv) else { return self.answer(now, inv, Verdict::NotYet) };
         let (ask, sent) = (v.ask, v.deliveries[o.delivery].sent);
         v.deliveries[o.delivery].ending = Some(o.ending);
-        let (out, left, closed) = (v.out(), v.closed, v.closed || o.closed);
+        let (out, left, streams, closed) = (v.out(), v.closed, v.streams, v.closed || o.closed);
         if let Some(a) = self.accounts.get_mut(&ask.customer) {
             if let Some(units) = o.true_units {
                 a.settle += units - ask.units;
                 self.look_after(ask.customer, now + LAPSE);
             }
         }
-        self.judge(now, &ask, (sent, left), o);
+        self.judge(now, &ask, (sent, left, streams), o);
         if closed {
             self.gone(now, inv);
         }
@@ -772,13 +770,12 @@
     }
 
     /// What an outcome says of its backend.
-    fn judge(&mut self, now: f64, ask: &Ask, (sent, left): (f64, bool), o: &Outcome) {
+    fn judge(&mut self, now: f64, ask: &Ask, (sent, left, streams): (f64, bool, bool), o: &Outcome) {
         let (op, units, kinds) = (ask.operation, ask.units.max(1.0), self.kinds(ask));
         let (high, half, base) = (&mut self.high[op], &mut self.half[op], &mut self.base[op]);
         let slow = o.took > SLOWED * *base;
         let Some(b) = self.backends.get_mut(&o.tgt) else { return };
-        b.out = b.out.saturating_sub(1);
-        b.owes = if b.out > 0 { (b.owes - units).max(0.0) } else { 0.0 };
+        b.lighter(if streams { 0.0 } else { units });
         if o.ending == Ending::NotSent || left && o.ending == Ending::Cancelled && o.took < *high * units {
             return; // a client that left early says nothing of the backend
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,11 +22,18 @@
     pub place: Option<u32>, // held of a cap: by its count's series, or 0 for our own share
     pub admitted: bool,
     pub look: f64,
+    pub streams: bool, // its answer has begun
     pub deliveries: Vec<Delivery>,
     pub closed: bool,
 }
 
 impl Invocation {
+    /// Its answer has begun: the backend that gives it, and the units; none if that was told before.
+    pub fn stream(&mut self) -> Option<(Tgt, f64)> {
+        let out = self.deliveries.iter().find(|d| d.ending.is_none()).filter(|_| !self.streams)?;
+        (self.look, self.ask.until, self.streams) = (f64::INFINITY, f64::INFINITY, true);
+        Some((out.tgt, self.ask.units.max(1.0)))
+    }
     pub fn out(&self) -> usize {
         self.deliveries.iter().filter(|d| d.ending.is_none()).count()
     }
@@ -122,6 +129,18 @@
         let Backend { out, owes, by_hand, back, .. } = *self;
         Backend { out, owes, by_hand, back, ..Backend::new(now, is, self.proven.len()) }
     }
+    /// A delivery of so many units is no longer its work; none if that was told before.
+    pub fn lighter(&mut self, units: f64) {
+        self.out = self.out.saturating_sub(usize::from(units > 0.0));
+        self.owes = if self.out > 0 { (self.owes - units).max(0.0) } else { 0.0 };
+    }
+    /// An operator's word; where it ends, this is a machine that has just started.
+    pub fn by_hand(&mut self, now: f64, out: bool) {
+        if self.by_hand && !out {
+            *self = Backend { back: now, ..self.anew(now, self.is) };
+        }
+        self.by_hand = out;
+    }
     /// It may get what is new.
     pub fn ready(&self) -> bool {
         self.is.standing == Standing::Ready && !self.by_hand
