--- a/gateway/src/memory/clients.rs
+++ b/gateway/src/memory/clients.rs
@@ -11,7 +11,7 @@
     pub(super) fn command(&mut self, now: f64, id: u64, command: Command) {
         let takes = self.takes_clients();
         let Some(client) = self.clients.get_mut(&id) else { return };
-        (client.used, client.said, client.half) = (now, true, None);
+        (client.used, client.said, client.half, client.grown) = (now, true, None, None);
         let no = client.first + client.owed.len() as u64;
         let answer = match command {
             Command::Ping if takes => Answer::Pong,
--- a/gateway/src/memory/event.rs
+++ b/gateway/src/memory/event.rs
@@ -117,6 +117,8 @@
     Response(Conn, Response),
     /// The beginning of a message has come, and not yet the rest.
     Partial(Conn),
+    /// More of a long body has come, or there is no room for more.
+    Body(u64, bool),
     /// A connection that was asked for is up.
     Up(Conn),
     /// A connection ended that nobody here closed; `unsent`: not all that was written to it has left.
--- a/gateway/src/memory/kept.rs
+++ b/gateway/src/memory/kept.rs
@@ -54,6 +54,8 @@
     pub said: bool,
     /// Since when it has been at a command that is not whole.
     pub half: Option<f64>,
+    /// When more of a long body came; never, while it waits for us.
+    pub grown: Option<f64>,
     /// Its framing broke: it closes once all is answered.
     pub broken: bool,
     /// Nothing more is read from it: it closes so, too.
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -133,6 +133,11 @@
             Event::Partial(Conn::Client(id)) => {
                 self.half(now, id);
             }
+            Event::Body(id, more) => {
+                self.half(now, id);
+                let grown = if more { now } else { f64::INFINITY };
+                self.clients.entry(id).and_modify(|c| c.grown = Some(grown));
+            }
             Event::Partial(Conn::Backend(id)) => self.unasked(id),
             Event::Partial(Conn::Counter(id)) => self.counter_unasked(id),
             Event::Partial(Conn::List(_) | Conn::Operator(_)) => {}
--- a/gateway/src/memory/room.rs
+++ b/gateway/src/memory/room.rs
@@ -14,6 +14,8 @@
 /// A command may take so long from its first byte to its last: a slow client may need 2 s for it, and one that will
 /// never end it is to be let go within 3 s.
 const HALF: f64 = 2.5;
+/// A long body has that from its last byte on, and this in all.
+const BODY: f64 = 30.0;
 /// A client that is just connected may need so long to say something.
 const ARRIVING: f64 = 0.05;
 /// How often it is looked for what stands idle.
@@ -77,12 +79,12 @@
 
     pub(super) fn half_too_long(&mut self, now: f64, id: u64) {
         let Some(client) = self.clients.get(&id) else { return };
-        match client.half.filter(|_| client.owed.is_empty()) {
-            Some(since) if now - since > HALF - 1e-3 => self.let_go(id, Why::Idle),
-            // Another command by now has a timer of its own.
-            Some(_) => {}
-            None if client.half.is_some() => drop(self.at(now + HALF, Due::Half(id))),
-            None => {}
+        let Some(since) = client.half else { return };
+        let (rested, all) = (now - client.grown.unwrap_or(since), now - since);
+        if client.owed.is_empty() && (rested > HALF - 1e-3 || all > BODY) {
+            self.let_go(id, Why::Idle);
+        } else if all > HALF - 1e-3 {
+            self.at(now + HALF, Due::Half(id)); // one that began later has a timer of its own
         }
     }
 
--- a/gateway/src/sockets/link.rs
+++ b/gateway/src/sockets/link.rs
@@ -4,6 +4,7 @@
 use crate::wire::{http, manage, resp, Broken};
 use atomic_refcell::AtomicRefCell;
 use may::io::{CoIo, WaitIo, WaitIoWaker};
+use std::collections::VecDeque;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -16,6 +17,8 @@
 /// Buffers larger than this are not kept.
 const KEPT: usize = 16 * 1024;
 const SCRATCH: usize = 64 * 1024;
+/// By so much the room for a long command grows.
+const STEP: usize = 512 * 1024;
 /// So much may wait to be written, and so many of a client's commands for their answers, before reading stops.
 const UNREAD: usize = 1024 * 1024;
 const OWED: usize = 512;
@@ -48,6 +51,12 @@
     half: AtomicUsize,
     most_half: usize,
     unread: usize,
+    /// How many bytes clients' long commands hold, until they are answered, and how many they may; the client that
+    /// may go on all the same, and those that wait.
+    long: AtomicUsize,
+    most_long: usize,
+    goes_on: AtomicUsize,
+    crowd: AtomicRefCell<Vec<Arc<Link>>>,
     /// How many bytes of values on their way through wait for clients, and how many should.
     passing: AtomicUsize,
     most_passing: usize,
@@ -69,6 +78,7 @@
         let (half, most_half, unread) = (AtomicUsize::new(0), memory / HALF, UNREAD.min(memory / HALF / 16));
         let (short, acceptors, written) =
             (AtomicBool::new(false), AtomicRefCell::default(), AtomicUsize::new(0));
+        let (long, most_long, goes_on) = (AtomicUsize::new(0), memory / HALF, AtomicUsize::new(0));
         let (passing, most_passing) = (AtomicUsize::new(0), memory / PASSING);
         Arc::new(Common {
             inbox,
@@ -76,6 +86,10 @@
             half,
             most_half,
             unread,
+            long,
+            most_long,
+            goes_on,
+            crowd: AtomicRefCell::default(),
             passing,
             most_passing,
             short,
@@ -92,8 +106,11 @@
     stream: CoIo<TcpStream>,
     waker: WaitIoWaker,
     pub out: AtomicRefCell<Vec<u8>>,
-    /// A client's commands that have no answer yet.
+    /// A client's commands that have no answer yet; and the lengths of the long ones, 0 for others.
     owed: AtomicUsize,
+    long: AtomicRefCell<VecDeque<usize>>,
+    /// It waits for room for a long body.
+    crowded: AtomicBool,
     closed: AtomicBool,
     /// Nothing more is read; for an operator: its answer is the last that leaves.
     muted: AtomicBool,
@@ -141,6 +158,8 @@
             waker,
             out,
             owed,
+            long: AtomicRefCell::default(),
+            crowded: AtomicBool::new(false),
             closed,
             muted,
             deliveries,
@@ -293,6 +312,39 @@
         if self.owed.fetch_sub(1, Ordering::Relaxed) == OWED {
             self.waker.wakeup();
         }
+        let long = self.long.borrow_mut().pop_front();
+        if let Some(length) = long.filter(|n| *n > 0) {
+            self.has_room(length);
+        }
+    }
+
+    /// So much of a long command is held no more.
+    fn has_room(&self, length: usize) {
+        self.common.long.fetch_sub(length, Ordering::Relaxed);
+        let own = self.number();
+        let _ = self.common.goes_on.compare_exchange(own, 0, Ordering::Relaxed, Ordering::Relaxed);
+        for link in self.common.crowd.borrow_mut().drain(..) {
+            link.crowded.store(false, Ordering::Relaxed);
+            link.waker.wakeup();
+        }
+    }
+
+    fn number(&self) -> usize {
+        if let Conn::Client(id) = self.conn {
+            id as usize
+        } else {
+            0
+        }
+    }
+
+    /// Whether there is room for more of a long body: one client may always go on, until it is answered.
+    fn may_grow(&self) -> bool {
+        if self.common.long.load(Ordering::Relaxed) + SCRATCH <= self.common.most_long {
+            return true;
+        }
+        let own = self.number();
+        let before = self.common.goes_on.compare_exchange(0, own, Ordering::Relaxed, Ordering::Relaxed);
+        before.is_ok() || before == Err(own)
     }
 
     /// A client that reads no answers, or asks far ahead of them, is not read from either.
@@ -314,13 +366,15 @@
         }
     }
 
-    fn serve(&self, up: bool) {
+    fn serve(self: &Arc<Link>, up: bool) {
         let mut got = Vec::new();
-        self.read_on(up, &mut got);
+        self.read_on(self, up, &mut got);
         self.keep(got.len(), 0);
         // Nothing passes here any more, in either direction.
         self.closed.store(true, Ordering::Relaxed);
         self.count(0);
+        let long: usize = self.long.borrow_mut().drain(..).sum();
+        self.has_room(long);
         if let Some(source) = self.source.borrow_mut().take() {
             source.waker.wakeup();
         }
@@ -337,12 +391,16 @@
         if !matches!(self.conn, Conn::Client(_)) {
             return true;
         }
-        let kept = self.common.half.load(Ordering::Relaxed) + now - before;
+        let long = |n: usize| if n > resp::MESSAGE { n } else { 0 };
+        let short = |n: usize| n - long(n);
+        let kept = self.common.half.load(Ordering::Relaxed) + short(now) - short(before);
         self.common.half.store(kept, Ordering::Relaxed);
-        now <= before || kept <= self.common.most_half
+        self.common.long.fetch_add(long(now), Ordering::Relaxed);
+        self.common.long.fetch_sub(long(before), Ordering::Relaxed);
+        short(now) <= short(before) || kept <= self.common.most_half
     }
 
-    fn read_on(&self, mut up: bool, got: &mut Vec<u8>) {
+    fn read_on(&self, own: &Arc<Link>, mut up: bool, got: &mut Vec<u8>) {
         let mut deaf = false;
         let mut unread = 0;
         loop {
@@ -378,7 +436,7 @@
             // What a backend wrote before its end passes only as fast as the client takes it.
             let (ended, passes) = (unread & ENDED != 0, matches!(self.conn, Conn::Backend(_)));
             if unread != 0 && (!self.full() || ended && !passes) {
-                match self.read(ended, got, &mut deaf) {
+                match self.read(own, ended, got, &mut deaf) {
                     Ok(true) => unread = 0,
                     Ok(false) => {}
                     Err(why) => return self.ended(why),
@@ -399,9 +457,22 @@
 
     /// Reads all there is, or until it is full; true if that was all. A short read is the last one, unless the
     /// other side has ended.
-    fn read(&self, to_the_end: bool, got: &mut Vec<u8>, deaf: &mut bool) -> Result<bool, Why> {
+    fn read(
+        &self,
+        own: &Arc<Link>,
+        to_the_end: bool,
+        got: &mut Vec<u8>,
+        deaf: &mut bool,
+    ) -> Result<bool, Why> {
         let mut scratch = self.common.scratch.borrow_mut();
         loop {
+            if got.len() > resp::MESSAGE && !*deaf && !self.may_grow() {
+                if !self.crowded.swap(true, Ordering::Relaxed) {
+                    self.common.crowd.borrow_mut().push(own.clone());
+                    self.tell(Event::Body(self.number() as u64, false));
+                }
+                return Ok(false);
+            }
             let room = if matches!(self.conn, Conn::Backend(_)) { self.ahead() } else { SCRATCH };
             if room == 0 {
                 self.waits.store(true, Ordering::Relaxed);
@@ -416,6 +487,9 @@
                         let done = self.decode(&scratch[..n], deaf)?;
                         got.extend_from_slice(&scratch[done..n]);
                     } else {
+                        if got.capacity() < got.len() + n && got.len() > resp::MESSAGE {
+                            got.reserve_exact(STEP); // not by doubling
+                        }
                         got.extend_from_slice(&scratch[..n]);
                         let done = self.decode(got, deaf)?;
                         got.drain(..done);
@@ -425,6 +499,7 @@
                     }
                     if *deaf {
                         self.keep(got.len(), 0);
+                        self.has_room(0);
                         got.clear();
                     }
                     if got.is_empty() && got.capacity() > KEPT {
@@ -501,10 +576,20 @@
                 }
             };
             let Some((event, n)) = event else {
-                self.tell(Event::Partial(self.conn));
+                self.tell(match self.conn {
+                    Conn::Client(id) if rest.len() > resp::MESSAGE => Event::Body(id, true),
+                    conn => Event::Partial(conn),
+                });
                 return Ok(done);
             };
-            self.tell(event);
+            if n > resp::MESSAGE && matches!(self.conn, Conn::Client(_)) {
+                self.common.long.fetch_add(n, Ordering::Relaxed);
+                self.long.borrow_mut().push_back(n);
+                self.owed.fetch_add(1, Ordering::Relaxed);
+                self.common.inbox.push(event);
+            } else {
+                self.tell(event);
+            }
             done += n;
         }
     }
@@ -512,6 +597,7 @@
     fn tell(&self, event: Event) {
         if matches!(event, Event::Command(..)) {
             self.owed.fetch_add(1, Ordering::Relaxed);
+            self.long.borrow_mut().push_back(0);
         }
         self.common.inbox.push(event);
     }
--- a/gateway/src/wire/resp.rs
+++ b/gateway/src/wire/resp.rs
@@ -2,12 +2,12 @@
 use super::{Broken, Decoded};
 use std::ops::Range;
 
-/// The longest value that is held whole, and the longest that passes.
+/// The longest value that is held whole, and the longest there is: it passes, or is a body that waits for room.
 pub const VALUE: usize = 64 * 1024;
 pub const LONG: usize = 4 * 1024 * 1024;
 const WORDS: usize = 16;
 const LINE: usize = 1024;
-/// The longest message: a value, and the short words round it.
+/// The longest message, long bodies apart: a value, and the short words round it.
 pub const MESSAGE: usize = VALUE + 4 * LINE;
 
 /// An invocation as a client wrote it. The message passes on as it came, but for the time left.
@@ -122,13 +122,15 @@
 }
 
 /// A bulk string from `at` (its length line included): where it lies, none if null; and the next.
-fn bulk(bytes: &[u8], at: usize) -> Decoded<Option<Range<usize>>> {
+fn bulk(bytes: &[u8], at: usize, longest: usize) -> Decoded<Option<Range<usize>>> {
     let Some((head, from)) = line(bytes, at)? else { return Ok(None) };
     let Some(b'$') = head.first() else { return Err(Broken("expected a bulk string")) };
     let length = match number(&head[1..])? {
         -1 => return Ok(Some((None, from))),
         n if n < 0 => return Err(Broken("negative length")),
-        n if n > VALUE as i64 => return Err(Broken("value over 64 KiB")),
+        n if n > longest as i64 => {
+            return Err(Broken(if longest > VALUE { "value over 4 MiB" } else { "value over 64 KiB" }))
+        }
         n => n as usize,
     };
     if bytes.len() < from + length + 2 {
@@ -164,14 +166,15 @@
     let n = n.unwrap_or(0);
     for i in 0..n {
         heads[i] = at;
-        let Some((word, next)) = bulk(bytes, at)? else {
-            let long = bytes.len() > MESSAGE;
+        let body = i == 4 && n == 5;
+        let Some((word, next)) = bulk(bytes, at, if body { LONG } else { VALUE })? else {
+            let long = bytes.len() > MESSAGE && !body;
             return if long { Err(Broken("message over 64 KiB")) } else { Ok(None) };
         };
         words[i] = word.ok_or(Broken("null in a command"))?;
         at = next;
     }
-    if at > MESSAGE {
+    if heads[n.saturating_sub(1).min(4)] > MESSAGE || n != 5 && at > MESSAGE {
         return Err(Broken("message over 64 KiB"));
     }
     let word = |i: usize| &bytes[words[i].clone()];
@@ -294,7 +297,7 @@
             if n != Some(3) {
                 return Err(Broken("expected a value, figures on use and a report"));
             }
-            let Some((value, at)) = bulk(bytes, at)? else { return Ok(None) };
+            let Some((value, at)) = bulk(bytes, at, VALUE)? else { return Ok(None) };
             let value = value.ok_or(Broken("no value"))?;
             let Some(((billed, report), n)) = tail(&bytes[at..])? else { return Ok(None) };
             Ok(Some((Reply::Value { value: bytes[value].to_vec(), billed, report }, at + n)))
@@ -317,7 +320,7 @@
 fn aside(bytes: &[u8], at: usize) -> Decoded<Option<Range<usize>>> {
     match bytes.get(at) {
         Some(b'+' | b'-' | b':') => Ok(line(bytes, at)?.map(|(_, next)| (None, next))),
-        _ => bulk(bytes, at),
+        _ => bulk(bytes, at, VALUE),
     }
 }
 
--- a/gateway/tests/streams.rs
+++ b/gateway/tests/streams.rs
@@ -35,6 +35,13 @@
                 let (mut from, mut to) = (BufReader::new(stream.try_clone()?), stream);
                 loop {
                     let Some(words) = toy::command(&mut from)? else { return std::io::Result::Ok(()) };
+                    if words[3].contains("c=order") {
+                        sleep(Duration::from_millis(20));
+                        let sum: u64 = words[4].bytes().map(u64::from).sum();
+                        let value = format!("{} {sum}", words[4].len());
+                        write!(to, "*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len())?;
+                        continue;
+                    }
                     let whole = !words[3].contains("c=fail");
                     let text = [
                         format!("*3\r\n${LONG}\r\n").as_bytes(),
@@ -95,6 +102,13 @@
     (door, listen)
 }
 
+/// The most memory that it has had, in kB.
+fn peak(door: &Door) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", door.0.id())).expect("it runs");
+    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("a peak");
+    peak.trim().trim_end_matches(" kB").parse().expect("a number")
+}
+
 fn ask(at: SocketAddr, operation: &str) -> TcpStream {
     let mut to = TcpStream::connect(at).expect("it accepts");
     to.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out");
@@ -138,9 +152,7 @@
     let (door, at) = start("many", 32);
     let mut clients: Vec<TcpStream> = (0..MANY).map(|_| ask(at, "look")).collect();
     sleep(Duration::from_millis(1000));
-    let status = std::fs::read_to_string(format!("/proc/{}/status", door.0.id())).expect("it runs");
-    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("a peak");
-    let peak: usize = peak.trim().trim_end_matches(" kB").parse().expect("a number");
+    let peak = peak(&door);
     assert!(peak < 32 * 1024, "{peak} kB at the most");
     let mut whole = 0;
     for to in &mut clients {
@@ -158,3 +170,47 @@
     }
     assert!(whole > 2, "{whole} came whole, the others were refused");
 }
+
+/// Guards: a body over 64 KiB was turned away; and many at once wait for room, each is served, and none takes the
+/// memory of the others.
+#[test]
+fn long_bodies_wait_for_room_and_all_are_served() {
+    const BODY: usize = 2 * 1024 * 1024;
+    let (door, at) = start("bodies", 32);
+    let clients: Vec<_> = (0..30)
+        .map(|_| {
+            spawn(move || {
+                let text = toy::invocation("order", 2900);
+                let body = format!("${BODY}\r\n{}\r\n", "b".repeat(BODY));
+                let text = text.replace("$4\r\nbody\r\n", &body);
+                let mut to = TcpStream::connect(at).expect("it accepts");
+                for piece in text.as_bytes().chunks(70_001) {
+                    to.write_all(piece).expect("it reads");
+                    sleep(Duration::from_millis(1));
+                }
+                toy::reply(&mut BufReader::new(to)).expect("an answer")
+            })
+        })
+        .collect();
+    // A small one is not held up meanwhile.
+    let mut small = TcpStream::connect(at).expect("it accepts");
+    small.write_all(b"*1\r\n$4\r\nPI").expect("it reads");
+    sleep(Duration::from_millis(300));
+    small.write_all(b"NG\r\n").expect("it reads");
+    small.set_read_timeout(Some(Duration::from_millis(500))).expect("a time-out");
+    assert_eq!(toy::reply(&mut BufReader::new(small)).expect("at once"), "+PONG");
+    let expected = format!("{BODY} {}", BODY as u64 * u64::from(b'b'));
+    let said: Vec<String> = clients.into_iter().map(|c| c.join().expect("no panic")).collect();
+    let served = said.iter().filter(|s| **s == expected).count();
+    assert!(served >= 20 && said.iter().all(|s| *s == expected || s.starts_with("-BUSY")), "{said:?}");
+    let peak = peak(&door);
+    assert!(peak < 32 * 1024, "{peak} kB at the most");
+    // Too long, and a length that is none.
+    for (length, why) in [("4194305", "4 MiB"), ("-5", "negative"), ("4e6", "no number")] {
+        let text = toy::invocation("order", 2900).replace("$4\r\nbody", &format!("${length}\r\nbody"));
+        let mut to = TcpStream::connect(at).expect("it accepts");
+        to.write_all(text.as_bytes()).expect("it reads");
+        let said = toy::reply(&mut BufReader::new(to)).expect("an answer");
+        assert!(said.starts_with("-ERR protocol") && said.contains(why), "{said}");
+    }
+}
