Among two backends the one with an idle connection is taken, where its answers are well

Change: the second of the two drawn is one to which a connection stands idle and whose high answer time is no worse than its fellows'; the other weighs half as much again, as one in another zone does (FAR). Not where answers are slow all over.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,8 +1,7 @@
 //! All decisions of one front door. Interface: `types.rs`; what it remembers: `state.rs`. The caller tells
 //! facts (by what returns nothing) and asks three: `place` (where does this invocation go, or not yet,
 //! or never), `after` (what now, after this outcome), `wait` (how long until the next look, and whom to ask
-//! about again). It keeps the timer and what is held; errands (calls, words, cancels, log lines) leave with
-//! the answers.
+//! about again). It keeps timer and invocations; errands (calls, words, cancels, log) leave with answers.
 //! Quota: a customer's count on the counter service holds the units taken since its window began. The store
 //! it stands for regains `rate` a second, so the allowance is the burst plus that, and a count that lags
 //! behind what the store regained is lifted to it (a full store spills); so is a forgotten or a new count.
@@ -38,7 +37,7 @@
 const DOUBT: f64 = 3.0; // times the high answer time: a delivery is doubted whatever its backend does
 const PRESSED: f64 = 0.15; // of the latency objective: the work out at a backend may fill so much of it
 const SLOWED: f64 = 3.0; // times the least median of late: a slow answer
-const FAR: f64 = 1.5; // times its load: a backend in another zone, where crossing is charged for
+const FAR: f64 = 1.5; // times its load: a backend in a zone that is charged for; one not connected
 const DRIFT: f64 = 0.0002; // by which that least forgets, an answer
 const LIMIT: (f64, f64) = (10.0, 0.25); // units out: at first, a backend, all doors; by an answer
 const CUT: f64 = 0.5; // off that limit by a slow answer of a backend that says it is full
@@ -158,8 +157,7 @@
 
     /// How many listed backends get nothing new now: draining, out by hand or set aside.
     pub fn avoided(&self) -> usize {
-        let avoided = |b: &&Backend| b.is.standing != Standing::Gone && (!b.ready() || b.aside.is_some());
-        self.backends.values().filter(avoided).count()
+        self.backends.values().filter(|b| b.avoided()).count()
     }
 
     /// Another process of this door is there, or no longer: each has half of what is the door's own.
@@ -200,10 +198,7 @@
     /// A stream has begun: the invocation owes nothing by the clock, and its backend has done its work.
     pub fn streaming(&mut self, now: f64, inv: Inv) {
         let Some((tgt, units)) = self.invs.get_mut(&inv).and_then(Invocation::stream) else { return };
-        if let Some(b) = self.backends.get_mut(&tgt) {
-            b.lighter(units);
-            b.quiet_since = now;
-        }
+        self.backends.entry(tgt).and_modify(|b| b.answers(now, units));
     }
 
     /// What came of a counter call.
@@ -709,8 +704,8 @@
     fn pick(&mut self, now: f64, (ask, luck): (&Ask, f64), tried: &[Tgt], kin: Kin) -> Option<Tgt> {
         let key = |b: &Backend, g| if g == Group::Zone { b.is.zone } else { b.is.cell };
         let kin = kin.and_then(|(g, t)| self.backends.get(&t).map(|b| (g, key(b, g))));
-        let fits = |b: &&Backend| b.ready() && kin.is_none_or(|(g, k)| key(b, g) == k);
-        let ready = || self.backends.values().filter(fits);
+        let ready =
+            || self.backends.values().filter(|b| b.ready() && kin.is_none_or(|(g, k)| key(b, g) == k));
         let Operation { latency_objective, effect } = self.operations[ask.operation];
         let (high, span) = (self.high[ask.operation], PRESSED * latency_objective);
         // Where answers come as fast as ever, what says nothing hangs; else it may be slow.
@@ -752,12 +747,17 @@
         let due = |b: &&Backend| (now - b.unused) * self.share(now, b) > SOON * luck;
         let soon = good.iter().map(|t| &self.backends[t]).find(due).map(|b| b.is.tgt);
         let i = (!good.is_empty()).then(|| (self.chance() * good.len() as f64) as usize)?;
-        let j = (i + (self.chance() * (good.len().max(2) - 1) as f64) as usize + 1) % good.len();
+        let u = self.chance();
+        let j = (i + (u * (good.len().max(2) - 1) as f64) as usize + 1) % good.len();
+        // The second is one with an idle connection, if any: a new one costs both sides a handshake.
+        let open = |b: &Backend| !slow && b.rests(now - self.may.link_idle / 2.0);
+        let opens: Vec<Tgt> = good.iter().copied().filter(|t| open(&self.backends[t])).collect();
+        let other = opens.get((u * opens.len() as f64) as usize).unwrap_or(&good[j]);
         // The units we have out there, against its size, its slowness beside its fellows and its warmth.
-        let far = |b: &Backend| if self.may.home.is_some_and(|h| h != b.is.zone) { FAR } else { 1.0 };
+        let dear = |b: &Backend| FAR.powi(i32::from(b.far(self.may.home)) + i32::from(!open(b)));
         let slow = |b: &Backend| b.high.clamp(0.5, 5.0);
-        let load = |b: &Backend| (b.owes + 1.0) * slow(b) * far(b) / b.is.size / self.share(now, b);
-        let (x, y) = (&self.backends[&good[i]], &self.backends[&good[j]]);
+        let load = |b: &Backend| (b.owes + 1.0) * slow(b) * dear(b) / b.is.size / self.share(now, b);
+        let (x, y) = (&self.backends[&good[i]], &self.backends[other]);
         soon.or(Some(if load(y) < load(x) { y.is.tgt } else { x.is.tgt }))
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -125,6 +125,23 @@
         let (back, unused) = (f64::NEG_INFINITY, f64::INFINITY);
         Backend { is, high: 1.0, quiet_since, good_at, known, proven, back, unused, ..Backend::default() }
     }
+    /// A connection to it stands idle, taken up after then, and its answers are no slower than its fellows'.
+    pub fn rests(&self, then: f64) -> bool {
+        self.out == 0 && self.high <= 1.0 && self.streak(0, then) > 0
+    }
+    /// It is in another zone than ours, where crossing is charged for.
+    pub fn far(&self, home: Option<usize>) -> bool {
+        home.is_some_and(|h| h != self.is.zone)
+    }
+    /// Listed, and yet it gets nothing new.
+    pub fn avoided(&self) -> bool {
+        self.is.standing != Standing::Gone && (!self.ready() || self.aside.is_some())
+    }
+    /// Its answer to so many units has begun: its work is done, and it is not silent.
+    pub fn answers(&mut self, now: f64, units: f64) {
+        self.lighter(units);
+        self.quiet_since = now;
+    }
     /// The same machine after a restart: what is out there stays out, and an operator's word stands.
     pub fn anew(&self, now: f64, is: Listed) -> Backend {
         let Backend { out, owes, by_hand, back, unused, .. } = *self;
