A list connection that says nothing when an answer is due is left at once

At fault: list.rs WATCH (20 s) and OVERRUN (2 s), and 1 to 3 s more after each end. Change: a watch waits 5 s; 0.4 s after its answer was due, or at the connection's end, it is asked for anew, by a call that does not wait, four times within a second, then as before.

--- a/gateway/src/memory/kept.rs
+++ b/gateway/src/memory/kept.rs
@@ -131,6 +131,7 @@
     Half(u64),
     Counter(u64, u64),
     Watch(u64),
+    Ask,
     Sweep,
     Operator(u64),
     Leave,
--- a/gateway/src/memory/list.rs
+++ b/gateway/src/memory/list.rs
@@ -7,9 +7,14 @@
 use quillramp::types::*;
 use std::collections::HashSet;
 
-/// How long a watch waits, and how much longer its answer may take.
-const WATCH: f64 = 20.0;
-const OVERRUN: f64 = 2.0;
+/// How long a watch waits: so long at the most nothing is learnt over a connection that has gone mute, for its answer,
+/// with news or without, is due by then.
+const WATCH: f64 = 5.0;
+/// How much longer an answer may take. What there is to tell counts as told 2 s after the wait is over: till then it is
+/// asked for again, so often, by calls that do not wait.
+const OVERRUN: f64 = 0.4;
+const AGAIN: u32 = 4;
+const SOON: f64 = 0.2;
 
 impl Reducer {
     pub(super) fn listed(&mut self, now: f64, list: &Listing) {
@@ -84,17 +89,42 @@
     }
 
     pub(super) fn next_watch(&self) -> Request {
-        let wait_ms = (WATCH * 1e3) as u64;
+        let wait_ms = if self.list_mute > 0 { 1 } else { (WATCH * 1e3) as u64 };
         self.index.map_or(Request::List, |since| Request::Watch { since, wait_ms })
     }
 
     pub(super) fn watch_until(&mut self, now: f64, id: u64) {
         self.timers.remove(&self.watch_ends);
-        self.watch_ends = self.at(now + WATCH + OVERRUN, Due::Watch(id));
+        let waits = if self.list_mute > 0 { 0.0 } else { WATCH };
+        self.watch_ends = self.at(now + waits + OVERRUN, Due::Watch(id));
+    }
+
+    /// No answer by when one was due, not even that nothing is new: the connection may be mute, the service be well.
+    pub(super) fn watch_mute(&mut self, now: f64, id: u64) {
+        if self.list != Some(id) {
+            return;
+        }
+        self.close(Conn::List(id), Why::Silent);
+        self.watch_broke(now);
+    }
+
+    /// A watch came to nothing, and what there is to tell goes on counting as told: asked for again soon, some times.
+    pub(super) fn watch_broke(&mut self, now: f64) {
+        self.list = None;
+        self.list_mute += 1;
+        match self.list_mute {
+            1 => self.watch(now),
+            n if n <= AGAIN => drop(self.at(now + SOON, Due::Ask)),
+            _ => {
+                self.list_mute = 0;
+                self.watch_failed(now);
+            }
+        }
     }
 
     pub(super) fn watched(&mut self, now: f64, id: u64, response: Response) {
         let list = (response.status == 200).then(|| listing::decode(&response.body));
+        self.list_mute = 0;
         match list {
             Some(Ok(list)) if !response.last => {
                 self.listed(now, &list);
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -43,6 +43,8 @@
     pub(super) counter_calls: u64,
     pub(super) list: Option<u64>,
     pub(super) watch_ends: Timer,
+    /// How often on end the list service has not answered when an answer was due.
+    pub(super) list_mute: u32,
     /// The version of the list that is known here; none where it was another service's.
     pub(super) index: Option<u64>,
     pub(super) conns: u64,
@@ -81,6 +83,7 @@
             counter_calls: 0,
             list: None,
             watch_ends: (0, 0),
+            list_mute: 0,
             index: None,
             conns: 0,
             timers: BTreeMap::new(),
@@ -152,7 +155,7 @@
                     Conn::Client(id) => self.client_gone(now, id),
                     Conn::Backend(id) => self.link_ended(now, id, unsent, why),
                     Conn::Counter(id) => self.counter_ended(now, id, unsent, why),
-                    Conn::List(id) if self.list == Some(id) => self.watch_failed(now),
+                    Conn::List(id) if self.list == Some(id) => self.watch_broke(now),
                     Conn::List(_) => {}
                     Conn::Operator(id) => {
                         self.operators.remove(&id).map(|key| self.timers.remove(&key));
@@ -235,12 +238,9 @@
             Due::Half(id) => self.half_too_long(now, id),
             Due::Stalled(inv) => self.stalled(now, inv),
             Due::Counter(id, call) => self.counter_late(now, id, call),
-            Due::Watch(id) => {
-                if self.list == Some(id) {
-                    self.close(Conn::List(id), Why::Silent);
-                    self.watch_failed(now);
-                }
-            }
+            Due::Ask if self.list.is_none() => self.watch(now),
+            Due::Ask => {}
+            Due::Watch(id) => self.watch_mute(now, id),
             Due::Sweep => self.sweep(now),
             Due::Operator(id) => self.end_call(id),
             Due::Leave => self.leave(now),
--- a/gateway/tests/reducer.rs
+++ b/gateway/tests/reducer.rs
@@ -49,6 +49,9 @@
             format!("backend link {id}: {} for {wait} ms", String::from_utf8_lossy(call.operation()))
         }
         Effect::Request(conn, Request::Count { add, .. }) => format!("{conn:?}: add {add}"),
+        Effect::Request(conn, Request::Watch { since, wait_ms: 1 }) => {
+            format!("{conn:?}: since {since}, at once")
+        }
         Effect::Request(conn, Request::Watch { since, .. }) => format!("{conn:?}: watch since {since}"),
         Effect::Request(conn, Request::List) => format!("{conn:?}: list"),
         Effect::Connect(conn, to) => format!("connect {conn:?} to {to}"),
@@ -132,6 +135,11 @@
         let lines = std::mem::take(&mut self.text);
         self.text = lines.lines().filter(|l| which(l)).map(|l| l.to_owned() + "\n").collect();
     }
+    /// What was said, the list service apart.
+    fn is_but_list(&mut self, expected: Expect) {
+        self.only(|l| !l.contains("connection list") && !l.contains("connect List"));
+        self.is(expected);
+    }
     fn is(&mut self, expected: Expect) {
         expected.assert_eq(&std::mem::take(&mut self.text));
     }
@@ -260,7 +268,7 @@
     let mut b = bench();
     b.client(1).call(1, "look", 5).until(0.05).up(3).value(3, "a").until(1.0).call(1, "look", 5).until(1.05);
     b.until(1.1).value(3, "b").until(10.0);
-    b.is(expect![[r#"
+    b.is_but_list(expect![[r#"
         0.000 connect Counter(2) to 127.0.0.1:7007
         0.016 connect Backend(3) to 127.0.0.1:7011
         0.050 backend link 3: look for 750 ms
@@ -434,7 +442,7 @@
     b.client(1).client(2).call(2, "look", 5).until(0.05).up(3).value(3, "a").until(2.2).text.clear();
     // Short of descriptors: who never said anything goes first, then who was answered long ago, then a backend's.
     b.client(3).client(4).call(3, "look", 6).client(5).client(6);
-    b.is(expect![[r#"
+    b.is_but_list(expect![[r#"
         2.200 connect Counter(5) to 127.0.0.1:7007
         2.200 log: connection client 1 ended: crowded
         2.200 log: connection client 2 ended: crowded
@@ -444,7 +452,7 @@
     b.client(1).client(2).call(2, "look", 5).until(0.05).up(3).value(3, "a").text.clear();
     b.until(0.5).client(3).call(3, "order", 5).event(Event::Partial(Conn::Client(3)));
     b.until(11.0);
-    b.is(expect![[r#"
+    b.is_but_list(expect![[r#"
         0.080 log: connection counter 2 ended: dial-timeout
         0.500 connect Counter(4) to 127.0.0.1:7007
         0.540 backend link 3: order for 759 ms
@@ -778,7 +786,7 @@
         b.until(at).event(Event::Partial(Conn::Client(1)));
     }
     b.until(3.9).says(1, "*1\r\n$4\r\nPING\r\n").event(Event::Partial(Conn::Client(1))).until(8.0);
-    b.is(expect![[r#"
+    b.is_but_list(expect![[r#"
         2.500 log: connection client 2 ended: idle
         3.900 client 1: +PONG
         6.400 log: connection client 1 ended: idle
@@ -798,7 +806,7 @@
     // The same one breaks off.
     b.event(Event::Begun(5, 100_000)).until(5.1).ended(Conn::Backend(5), Why::Reset, false).until(8.0);
     b.only(|l| !l.contains("ounter"));
-    b.is(expect![[r#"
+    b.is_but_list(expect![[r#"
         0.050 client 1: $5 first
         0.050 backend link 5 passes to client Some(1)
         2.500 log: connection client 2 ended: idle
@@ -813,3 +821,46 @@
         8.000 log: connection backend 4 s-b ended: idle
     "#]]);
 }
+
+/// Guards: a connection to the list service that had gone mute was waited on for 22 s, while all backends were replaced.
+/// No answer by when one is due, news or not, is asked for anew at once, by calls that do not wait; an end, too.
+#[test]
+fn a_mute_list_connection_is_left_when_its_answer_is_due() {
+    let mut b = bench();
+    let none = r#"{"index":41,"snapshot":false,"endpoints":[]}"#;
+    let answer = |id| {
+        let response = Response { status: 200, body: none.into(), last: false };
+        Event::Response(Conn::List(id), response)
+    };
+    b.event(Event::Up(Conn::List(1))).until(5.5).event(Event::Up(Conn::List(2))).event(answer(2));
+    b.until(7.0).ended(Conn::List(2), Why::Reset, false).event(Event::Up(Conn::List(3))).event(answer(3));
+    // Nobody there: soon again some times, then as seldom as the decisions say.
+    b.until(8.0).ended(Conn::List(3), Why::Reset, false);
+    for id in 4..8 {
+        b.ended(Conn::List(id), Why::Refused, false);
+        let next = b.now - 1000.0 + 0.25;
+        b.until(next);
+    }
+    b.until(12.0);
+    b.is(expect![[r#"
+        0.000 List(1): watch since 41
+        5.400 log: connection list 1 ended: silent
+        5.400 connect List(2) to 127.0.0.1:7002
+        5.500 List(2): since 41, at once
+        5.500 List(2): watch since 41
+        7.000 log: connection list 2 ended: reset
+        7.000 connect List(3) to 127.0.0.1:7002
+        7.000 List(3): since 41, at once
+        7.000 List(3): watch since 41
+        8.000 log: connection list 3 ended: reset
+        8.000 connect List(4) to 127.0.0.1:7002
+        8.000 log: connection list 4 ended: refused
+        8.200 connect List(5) to 127.0.0.1:7002
+        8.250 log: connection list 5 ended: refused
+        8.450 connect List(6) to 127.0.0.1:7002
+        8.500 log: connection list 6 ended: refused
+        8.700 connect List(7) to 127.0.0.1:7002
+        8.750 log: connection list 7 ended: refused
+        10.335 connect List(8) to 127.0.0.1:7002
+    "#]]);
+}
