--- a/gateway/src/wire/http.rs
+++ b/gateway/src/wire/http.rs
@@ -50,6 +50,7 @@
 }
 
 /// One whole response; those that only say that it is on its way (1xx) are passed over.
+#[inline(never)]
 pub fn response(bytes: &[u8]) -> Decoded<Response> {
     let mut at = 0;
     loop {
--- a/gateway/src/wire/manage.rs
+++ b/gateway/src/wire/manage.rs
@@ -27,6 +27,7 @@
 }
 
 /// The call, once all of it has come.
+#[inline(never)] // its frame is not to be part of every connection's stack
 pub fn call(bytes: &[u8]) -> Option<Call> {
     let mut headers = [httparse::EMPTY_HEADER; 64];
     let mut head = httparse::Request::new(&mut headers);
