A stop hands over only to a newer process, and ends only when nobody was just taken in

At fault: drain.rs stop() took every stop on a passed socket for a handover; drive.rs ended the process with clients in the inbox that the acceptor had taken in since. Ruled out: the backlog of the shared socket, the list (its troubles are the same after). Change: SIGTERM looks at the file first (on the main thread); only a process that started later takes over, else it is a stop like any other; the end comes 10 ms after the last client, if no client has come meanwhile.

--- a/gateway/src/life/handover.rs
+++ b/gateway/src/life/handover.rs
@@ -35,9 +35,6 @@
     }
 }
 
-/// The thread that keeps the file.
-pub struct Keeper(Sender<(u64, Change)>);
-
 /// What stands in the file.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -50,6 +47,26 @@
     serves: u32,
 }
 
+/// Where the file is, and which process it named when this one started.
+#[derive(Clone)]
+pub struct Place {
+    path: PathBuf,
+    before: u32,
+}
+
+impl Place {
+    /// What the file says now.
+    pub fn look(&self) -> Result<Shared, String> {
+        read(&self.path).map(|file| shared(&file, self.before))
+    }
+}
+
+/// The thread that keeps the file.
+pub struct Keeper {
+    to: Sender<(u64, Change)>,
+    pub place: Place,
+}
+
 impl Keeper {
     /// What the file says so far; and the thread, if there is a folder for the file.
     /// The file is in the folder that `TMPDIR` names, under the front door's own name.
@@ -70,13 +87,15 @@
         let thread = std::thread::Builder::new().name("keep".into());
         let known = shared(&file, own);
         let told = known.clone();
-        thread.spawn(move || keep(&path, &asked, &inbox, (told, own))).map_err(|e| e.to_string())?;
-        Ok((known, Some(Keeper(to))))
+        let place = Place { path, before: own };
+        let here = place.clone();
+        thread.spawn(move || keep(&here, &asked, &inbox, told)).map_err(|e| e.to_string())?;
+        Ok((known, Some(Keeper { to, place })))
     }
 
     /// Writes a change down; what came of it is told as an event, with the call that asked for it.
     pub fn write(&self, call: u64, change: Change) {
-        let _ = self.0.send((call, change)); // the thread lasts as long as the process
+        let _ = self.to.send((call, change)); // the thread lasts as long as the process
     }
 }
 
@@ -84,17 +103,18 @@
 fn shared(file: &Kept, before: u32) -> Shared {
     let other = if file.serves == std::process::id() { before } else { file.serves };
     let beside = other != 0 && Path::new("/proc").join(other.to_string()).exists();
-    Shared { out: file.out.clone(), drained: file.drained, beside }
+    Shared { out: file.out.clone(), drained: file.drained, beside, newer: beside && other != before }
 }
 
-fn keep(path: &Path, asked: &Receiver<(u64, Change)>, inbox: &Inbox, (mut known, before): (Shared, u32)) {
+fn keep(place: &Place, asked: &Receiver<(u64, Change)>, inbox: &Inbox, mut known: Shared) {
     loop {
-        let (call, file) = match asked.recv_timeout(LOOK) {
-            Ok((call, change)) => (Some(call), changed(path, change)),
-            Err(RecvTimeoutError::Timeout) => (None, read(path)),
+        let (call, now) = match asked.recv_timeout(LOOK) {
+            Ok((call, change)) => {
+                (Some(call), changed(&place.path, change).map(|file| shared(&file, place.before)))
+            }
+            Err(RecvTimeoutError::Timeout) => (None, place.look()),
             Err(RecvTimeoutError::Disconnected) => return,
         };
-        let now = file.map(|file| shared(&file, before));
         if call.is_none() && now.as_ref().map_or(true, |now| *now == known) {
             continue; // nothing new, or nothing that can be read
         }
--- a/gateway/src/life/signals.rs
+++ b/gateway/src/life/signals.rs
@@ -1,6 +1,7 @@
 //! Signals, told to the front door from the main thread: SIGTERM (or SIGINT, from a terminal) to end, SIGHUP to
 //! read the configuration again.
 use super::configuration::{self, Told};
+use super::handover::Place;
 use crate::memory::event::Event;
 use crate::sockets::inbox::Inbox;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -12,9 +13,13 @@
 }
 
 /// Waits on the main thread, which may read files; the service's own thread ends the process.
-pub fn wait(mut signals: Signals, inbox: Arc<Inbox>) -> ! {
+pub fn wait(mut signals: Signals, inbox: Arc<Inbox>, place: Option<Place>) -> ! {
     for signal in signals.forever() {
         if signal != SIGHUP {
+            // Whether another process has come to take over may be news of this very moment.
+            if let Some(Ok(shared)) = place.as_ref().map(Place::look) {
+                inbox.tell(Event::Kept { call: None, shared: Ok(shared) });
+            }
             inbox.tell(Event::Stop);
             continue;
         }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -55,6 +55,7 @@
     reducer.share_is(clock.now(), shared);
     let shared = || (links.clone(), common.clone(), stop_accepting.clone());
     let (for_clients, for_operators) = (shared(), shared());
+    let place = keeper.as_ref().map(|k| k.place.clone());
     let driver = Driver { clock, common, links, peers, stop_accepting, keeper };
     let builder = may::coroutine::Builder::new().stack_size(DRIVER_STACK);
     may::go!(builder, move || driver.run(reducer)).map_err(|e| e.to_string())?;
@@ -65,7 +66,7 @@
         accept::start((listener, Who::Operators), links, common, stop)?;
     }
     log::info!("{} serves at {}", told.name, told.listen);
-    signals::wait(waiting, inbox)
+    signals::wait(waiting, inbox, place)
 }
 
 fn main() -> ExitCode {
--- a/gateway/src/memory/drain.rs
+++ b/gateway/src/memory/drain.rs
@@ -11,9 +11,9 @@
 const PATIENCE: f64 = 1.5;
 
 impl Reducer {
-    /// What `PING` hears. Where another process listens on the same socket, the front door as a whole goes on.
+    /// What `PING` hears. Where another process takes over, the front door as a whole goes on.
     pub(super) fn takes_clients(&self) -> bool {
-        !self.shared.drained && (!self.stopping || self.parties.passed)
+        !self.shared.drained && (!self.stopping || self.hands_over)
     }
 
     pub(super) fn stop(&mut self, now: f64) {
@@ -22,7 +22,9 @@
         }
         let longest = self.about.longest_timeout.max(KILL);
         self.at(now + longest + LINGER, Due::Exit);
-        if self.parties.passed {
+        // With nobody to take over this is a stop like any other, and the next start is to come soon.
+        self.hands_over = self.parties.passed && self.shared.newer;
+        if self.hands_over {
             self.effects
                 .push(Effect::Log("told to stop: the next process accepts, this one serves out".into()));
             return self.leave(now);
@@ -61,11 +63,11 @@
         self.leaves = Some(self.at(now + PATIENCE - LINGER, Due::Mute));
         self.parting
             .extend(self.clients.iter().filter(|(_, c)| c.owed.is_empty() && c.said).map(|(id, _)| *id));
-        if !self.parties.passed || !self.stopping {
+        if !self.hands_over {
             let silent = self.clients.iter().filter(|(_, c)| !c.said && c.half.is_none());
             self.parting.extend(silent.map(|(id, _)| *id));
         }
-        if self.parties.passed && self.stopping {
+        if self.hands_over {
             // The next process needs the descriptors, and its own connections to backends.
             for tgt in 0..self.places.len() {
                 self.close_idle(tgt);
@@ -114,8 +116,13 @@
         }
     }
 
+    /// Stopping, and no client is left.
+    pub fn is_done(&self) -> bool {
+        self.leaving && self.stopping && self.clients.is_empty()
+    }
+
     pub(super) fn exit_when_done(&mut self) {
-        if self.leaving && self.stopping && self.clients.is_empty() {
+        if self.is_done() {
             self.effects.push(Effect::Exit);
         }
     }
--- a/gateway/src/memory/event.rs
+++ b/gateway/src/memory/event.rs
@@ -90,8 +90,9 @@
     /// Backends out by hand, and since when.
     pub out: BTreeMap<String, f64>,
     pub drained: bool,
-    /// Another process of this front door is there too.
+    /// Another process of this front door is there too; and it started after this one.
     pub beside: bool,
+    pub newer: bool,
 }
 
 #[derive(Debug)]
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -57,6 +57,8 @@
     pub(super) listed_names: Names,
     pub stats: Stats,
     pub(super) stopping: bool,
+    /// Stopping, with another process to take over.
+    pub(super) hands_over: bool,
     /// Connections end between invocations; what is next in that, and which may end after this batch.
     pub(super) leaving: bool,
     pub(super) leaves: Option<Timer>,
@@ -95,6 +97,7 @@
             listed_names: Names::default(),
             stats: Stats::default(),
             stopping: false,
+            hands_over: false,
             leaving: false,
             leaves: None,
             parting: BTreeSet::new(),
--- a/gateway/src/memory/room.rs
+++ b/gateway/src/memory/room.rs
@@ -99,7 +99,7 @@
         let crowded = 2 * self.descriptors() > self.parties.sockets;
         let long = |c: &Client| if c.said && !crowded { CLIENT_IDLE.1 } else { CLIENT_IDLE.0 };
         // A stopping process, with another to accept, ends no connection that nobody has asked anything on.
-        let spares = |c: &Client| self.stopping && self.parties.passed && !c.said;
+        let spares = |c: &Client| self.hands_over && !c.said;
         let between = |c: &Client| c.owed.is_empty() && c.half.is_none();
         let idle = self.clients.iter().filter(|(_, c)| between(c) && c.used < now - long(c));
         let idle = idle.filter(|(_, c)| !spares(c));
--- a/gateway/src/sockets/drive.rs
+++ b/gateway/src/sockets/drive.rs
@@ -31,7 +31,8 @@
     written: Vec<Conn>,
     /// Clients' connections that we ended and that still have something to send.
     closing: Vec<Arc<Link>>,
-    exits: bool,
+    /// It is to end then, once all is written.
+    exits: Option<f64>,
 }
 
 pub struct Driver {
@@ -51,12 +52,14 @@
         loop {
             let next = self.step(&mut reducer, &mut events, &mut batch);
             batch.closing.retain(|link| !link.flushed());
-            let next = match (batch.exits, batch.closing.is_empty()) {
-                (true, true) => exit(),
-                (true, false) => Some(self.clock.now() + LOOK),
-                _ => next,
-            };
             let now = self.clock.now();
+            // Who was taken in just before is told of in the next batch, and then it is not the end yet.
+            batch.exits = batch.exits.filter(|_| reducer.is_done());
+            let next = match batch.exits {
+                Some(at) if now >= at && batch.closing.is_empty() => exit(),
+                Some(_) => Some(now + LOOK),
+                None => next,
+            };
             if let Some(next) = next.filter(|n| *n < armed || armed <= now) {
                 armed = next;
                 self.common.inbox.ring_in(next - now);
@@ -165,7 +168,7 @@
                 self.stop_accepting.store(true, Ordering::Relaxed);
                 self.common.wake_acceptors();
             }
-            Effect::Exit => batch.exits = true,
+            Effect::Exit => batch.exits = Some(self.clock.now() + 2.0 * LOOK),
             Effect::ExitNow => exit(),
         }
     }
--- a/gateway/tests/reducer.rs
+++ b/gateway/tests/reducer.rs
@@ -549,8 +549,12 @@
 
 /// A change that is kept by now, as the thread that keeps it tells.
 fn kept(b: &mut Bench, id: u64, out: &[&str], drained: bool) {
-    let shared =
-        Shared { out: out.iter().map(|n| (n.to_string(), 1000.0)).collect(), drained, beside: false };
+    let shared = Shared {
+        out: out.iter().map(|n| (n.to_string(), 1000.0)).collect(),
+        drained,
+        beside: false,
+        newer: false,
+    };
     b.event(Event::Kept { call: Some(id), shared: Ok(shared) });
 }
 
@@ -699,7 +703,10 @@
         .text
         .clear();
     let out = [("s-a".to_string(), 1000.0)].into();
-    b.event(Event::Kept { call: None, shared: Ok(Shared { out, drained: false, beside: true }) });
+    b.event(Event::Kept {
+        call: None,
+        shared: Ok(Shared { out, drained: false, beside: true, newer: true }),
+    });
     b.event(Event::Stop).says(2, "*1\r\n$4\r\nPING\r\n").event(Event::Parted(2)).until(3.1);
     b.says(3, "*1\r\n$4\r\nPING\r\n").event(Event::Parted(3)).event(Event::Parted(1));
     b.only(|l| !l.contains("ounter"));
@@ -864,3 +871,28 @@
         10.335 connect List(8) to 127.0.0.1:7002
     "#]]);
 }
+
+/// Guards: with a passed socket, and nobody there to take over, a stop waited for clients that had never said anything and
+/// kept the next start from coming.
+#[test]
+fn a_stop_with_nobody_to_take_over_is_like_any_other() {
+    let mut b = bench_of(1024, true, true);
+    b.client(1).client(2).says(2, "*1\r\n$4\r\nPING\r\n");
+    // The one before is still there: it takes nothing over.
+    let shared = Shared { beside: true, ..Shared::default() };
+    b.event(Event::Kept { call: None, shared: Ok(shared) }).text.clear();
+    b.event(Event::Stop).says(2, "*1\r\n$4\r\nPING\r\n").until(0.3).client(3).until(0.6);
+    b.event(Event::Parted(1)).event(Event::Parted(2)).event(Event::Parted(3));
+    b.is(expect![[r#"
+        0.000 log: told to stop: serving on, then ending connections
+        0.000 client 2: -ERR draining
+        0.500 stop accepting
+        0.500 part with client 1 if it is quiet
+        0.500 part with client 2 if it is quiet
+        0.500 part with client 3 if it is quiet
+        0.600 log: connection client 1 ended: stopping
+        0.600 log: connection client 2 ended: stopping
+        0.600 log: connection client 3 ended: stopping
+        0.600 exit once all is written
+    "#]]);
+}
