--- a/gateway/src/life/handover.rs
+++ b/gateway/src/life/handover.rs
@@ -76,13 +76,14 @@
         };
         let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '-' };
         let path = folder.join(format!("quillramp-{}.json", name.chars().map(plain).collect::<String>()));
-        let before = lenient(read(&path));
-        let (file, own) =
-            (Kept { drained: false, serves: std::process::id(), ..before.clone() }, before.serves);
         // Whoever serves beside us hears of us from the file.
-        if let Err(why) = write(&path, &file) {
+        let ours = |file: &mut Kept| (file.drained, file.serves) = (false, std::process::id());
+        let (was, now) = update(&path, ours);
+        let own = was.serves;
+        let file = now.unwrap_or_else(|why| {
             log::warn!("the next version will not know what this one does: {why}");
-        }
+            Kept { drained: false, serves: std::process::id(), ..was }
+        });
         let (to, asked) = channel();
         let thread = std::thread::Builder::new().name("keep".into());
         let known = shared(&file, own);
@@ -125,17 +126,25 @@
     }
 }
 
-/// Reads, changes and writes under a lock: the other process may be at it too.
+/// Reads, changes and writes under a lock: the other process may be at it too, and what it wrote meanwhile, a ban or that
+/// it has come to take over, must not be written over. What the file said, and what it says now.
+fn update(path: &Path, change: impl FnOnce(&mut Kept)) -> (Kept, Result<Kept, String>) {
+    let lock = std::fs::File::create(path.with_extension("lock"));
+    let locked = lock.and_then(|lock| lock.lock().map(|()| lock)).map_err(|e| e.to_string());
+    let before = lenient(read(path));
+    let mut now = before.clone();
+    change(&mut now);
+    let done = locked.and_then(|_lock| write(path, &now)).map(|()| now);
+    (before, done)
+}
+
 fn changed(path: &Path, change: Change) -> Result<Kept, String> {
-    let lock = std::fs::File::create(path.with_extension("lock")).map_err(|e| e.to_string())?;
-    lock.lock().map_err(|e| e.to_string())?;
-    let mut now = lenient(read(path));
-    match change {
+    update(path, |now| match change {
         Change::Out(name, since) => drop(now.out.entry(name).or_insert(since)),
         Change::Back(name) => drop(now.out.remove(&name)),
         Change::Drained(drained) => now.drained = drained,
-    }
-    write(path, &now).map(|()| now)
+    })
+    .1
 }
 
 /// What the file says; nothing where there is none.
@@ -167,3 +176,29 @@
         .and_then(|()| std::fs::rename(&new, path))
         .map_err(|e| format!("{}: {e}", path.display()))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards: a call at the old version, met by the start of the new one, wrote the new one's name over, and SIGTERM was
+    /// no handover; or the start wrote a ban over.
+    #[test]
+    fn nothing_that_is_written_meanwhile_is_lost() {
+        let path = std::env::temp_dir().join(format!("quillramp-test-{}.json", std::process::id()));
+        std::thread::scope(|all| {
+            for of in 0..8 {
+                let path = &path;
+                all.spawn(move || {
+                    for i in 0..20 {
+                        changed(path, Change::Out(format!("{of}-{i}"), 0.0)).expect("written");
+                    }
+                });
+            }
+        });
+        let kept = read(&path).expect("readable").out.len();
+        let _ = std::fs::remove_file(path.with_extension("lock"));
+        std::fs::remove_file(path).expect("it is there");
+        assert_eq!(kept, 160);
+    }
+}
