Read again: one way to make a change, to succeed and to tell; a threshold back in the module

Behaviour unchanged; tests keep their assertions. A call's change was made in operators.rs and again in handover.rs: Change::make. What stands beside a value was read in replied() and again in rest_of(): succeeded(). link.rs told of long commands beside tell(), and was handed itself a second time to be read by. 'No slower than its fellows' (high <= 1.0) stood in state.rs, which decides nothing: decide.rs. Dropped: the length in Event::Begun, which nobody read, a wrapper and a closure with one use each.

--- a/gateway/src/life/handover.rs
+++ b/gateway/src/life/handover.rs
@@ -139,12 +139,7 @@
 }
 
 fn changed(path: &Path, change: Change) -> Result<Kept, String> {
-    update(path, |now| match change {
-        Change::Out(name, since) => drop(now.out.entry(name).or_insert(since)),
-        Change::Back(name) => drop(now.out.remove(&name)),
-        Change::Drained(drained) => now.drained = drained,
-    })
-    .1
+    update(path, |now| change.make(&mut now.out, &mut now.drained)).1
 }
 
 /// What the file says; nothing where there is none.
--- a/gateway/src/memory/backends.rs
+++ b/gateway/src/memory/backends.rs
@@ -96,10 +96,7 @@
             match reply {
                 Reply::Value { value, billed, report } => {
                     self.answer(now, inv, Answer::Value(value));
-                    // Nothing is read where the settings name no values.
-                    let report =
-                        report.and_then(|r| facts::report(&self.about.report, |_, name| figure(&r, name)));
-                    self.end_delivery(inv, delivery, Ending::Succeeded, Beside { billed, report });
+                    self.succeeded(inv, delivery, billed, report);
                 }
                 Reply::TurnedAway => self.end_delivery(inv, delivery, Ending::TurnedAway, Beside::default()),
                 Reply::Errored => self.end_delivery(inv, delivery, Ending::Errored, Beside::default()),
@@ -111,6 +108,19 @@
         self.rest(now, id);
     }
 
+    /// With what stood beside its value.
+    pub(super) fn succeeded(
+        &mut self,
+        inv: Inv,
+        delivery: usize,
+        billed: Option<f64>,
+        report: Option<Vec<u8>>,
+    ) {
+        // Nothing is read where the settings name no values.
+        let report = report.and_then(|r| facts::report(&self.about.report, |_, name| figure(&r, name)));
+        self.end_delivery(inv, delivery, Ending::Succeeded, Beside { billed, report });
+    }
+
     pub(super) fn end_delivery(&mut self, inv: Inv, delivery: usize, ending: Ending, beside: Beside) {
         if let Some(held) = self.held[inv].as_mut() {
             if held.deliveries[delivery].link.take().is_some() {
--- a/gateway/src/memory/drain.rs
+++ b/gateway/src/memory/drain.rs
@@ -66,8 +66,7 @@
         if !self.hands_over {
             let silent = self.clients.iter().filter(|(_, c)| !c.said && c.half.is_none());
             self.parting.extend(silent.map(|(id, _)| *id));
-        }
-        if self.hands_over {
+        } else {
             // The next process needs the descriptors, and its own connections to backends.
             for tgt in 0..self.places.len() {
                 self.close_idle(tgt);
--- a/gateway/src/memory/event.rs
+++ b/gateway/src/memory/event.rs
@@ -84,6 +84,16 @@
     Drained(bool),
 }
 
+impl Change {
+    pub fn make(self, out: &mut BTreeMap<String, f64>, drained: &mut bool) {
+        match self {
+            Change::Out(name, since) => drop(out.entry(name).or_insert(since)),
+            Change::Back(name) => drop(out.remove(&name)),
+            Change::Drained(now) => *drained = now,
+        }
+    }
+}
+
 /// What the processes of one front door share.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Shared {
@@ -111,8 +121,8 @@
     Command(u64, Command),
     /// A reply, and whether more came right behind it.
     Reply(u64, Reply, bool),
-    /// The head of a value that is to pass through, and how long that is; then that it has; and what stands behind.
-    Begun(u64, usize),
+    /// The head of a value that is to pass through; then that it has; and what stands behind.
+    Begun(u64),
     Passed(u64),
     Rest(u64, Option<f64>, Option<Vec<u8>>, bool),
     Response(Conn, Response),
--- a/gateway/src/memory/operators.rs
+++ b/gateway/src/memory/operators.rs
@@ -79,18 +79,18 @@
         if !self.operators.contains_key(&id) {
             return;
         }
-        let say = |yes: bool| if yes { 200 } else { 503 };
         match call {
             Call::Health => {
                 let takes = !self.shared.drained && !self.stopping;
-                self.respond(now, id, say(takes), if takes { "serving\n" } else { "draining\n" }.into());
+                let (status, says) = if takes { (200, "serving\n") } else { (503, "draining\n") };
+                self.respond(now, id, status, says.into());
             }
             Call::Stats => {
                 let figures = self.figures() + "\n";
                 self.respond(now, id, 200, figures);
             }
             Call::Wrong(status) => self.respond(now, id, status, "no such call\n".into()),
-            Call::Out(name) | Call::Back(name) if !self.knows(&name) => {
+            Call::Out(name) | Call::Back(name) if !self.listed_names.known.contains(&name) => {
                 self.respond(now, id, 404, format!("backend {name} was never listed\n"));
             }
             Call::Out(name) => self.change(now, id, Change::Out(name, now)),
@@ -112,11 +112,7 @@
     /// In force at once; answered when it is kept, too.
     fn change(&mut self, now: f64, id: u64, change: Change) {
         let mut shared = self.shared.clone();
-        match &change {
-            Change::Out(name, since) => drop(shared.out.entry(name.clone()).or_insert(*since)),
-            Change::Back(name) => drop(shared.out.remove(name)),
-            Change::Drained(drained) => shared.drained = *drained,
-        }
+        change.clone().make(&mut shared.out, &mut shared.drained);
         self.share_is(now, shared);
         if self.parties.keeps {
             return self.effects.push(Effect::Keep(id, change));
@@ -125,19 +121,18 @@
     }
 
     pub(super) fn kept(&mut self, now: f64, call: Option<u64>, shared: Result<Shared, String>) {
-        match (shared, call) {
-            (Ok(shared), call) => {
+        let (status, says) = match shared {
+            Ok(shared) => {
                 self.share_is(now, shared);
-                if let Some(id) = call {
-                    self.respond(now, id, 200, "done\n".into());
-                }
+                (200, "done\n".into())
             }
-            (Err(why), call) => {
+            Err(why) => {
                 self.effects.push(Effect::Log(format!("in force, but not kept for the next version: {why}")));
-                if let Some(id) = call {
-                    self.respond(now, id, 500, format!("in force, but not kept: {why}\n"));
-                }
+                (500, format!("in force, but not kept: {why}\n"))
             }
+        };
+        if let Some(id) = call {
+            self.respond(now, id, status, says);
         }
     }
 
@@ -182,10 +177,6 @@
         while two && self.short() && self.make_room(now) {}
     }
 
-    fn knows(&self, name: &str) -> bool {
-        self.listed_names.known.contains(name)
-    }
-
     pub fn figures(&self) -> String {
         let by_class = |counts: &[u64]| {
             let named = self.about.operations.iter().zip(counts);
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -130,7 +130,7 @@
             Event::Parted(id) => self.parted(id),
             Event::Command(id, command) => self.command(now, id, command),
             Event::Reply(id, reply, more) => self.replied(now, id, reply, more),
-            Event::Begun(id, _) => self.begun(now, id),
+            Event::Begun(id) => self.begun(now, id),
             Event::Passed(id) => self.passed(now, id),
             Event::Rest(id, billed, report, more) => self.rest_of(now, id, (billed, report), more),
             Event::Response(Conn::Counter(id), r) => self.counted(now, id, r),
--- a/gateway/src/memory/streams.rs
+++ b/gateway/src/memory/streams.rs
@@ -2,8 +2,7 @@
 use super::event::{Conn, Effect, Why};
 use super::kept::*;
 use super::reducer::Reducer;
-use crate::wire::resp::{figure, Answer};
-use quillramp::facts;
+use crate::wire::resp::Answer;
 use quillramp::types::*;
 
 /// A value of which nothing moves for so long is given up. The machine holds some megabytes for a slow client, and
@@ -56,9 +55,7 @@
     pub(super) fn rest_of(&mut self, now: f64, id: u64, beside: (Option<f64>, Option<Vec<u8>>), more: bool) {
         let Some(front) = self.links.get_mut(&id).and_then(|l| l.carries.pop_front()) else { return };
         if let Some((inv, delivery)) = front {
-            let (billed, report) = beside;
-            let report = report.and_then(|r| facts::report(&self.about.report, |_, name| figure(&r, name)));
-            self.end_delivery(inv, delivery, Ending::Succeeded, Beside { billed, report });
+            self.succeeded(inv, delivery, beside.0, beside.1);
         }
         if more {
             self.unasked(id);
--- a/gateway/src/sockets/drive.rs
+++ b/gateway/src/sockets/drive.rs
@@ -172,9 +172,7 @@
             Effect::ExitNow => exit(),
         }
     }
-}
 
-impl Driver {
     fn end(&self, conn: Conn, batch: &mut Batch) {
         if let Some(link) = self.links.remove(conn) {
             link.close();
--- a/gateway/src/sockets/link.rs
+++ b/gateway/src/sockets/link.rs
@@ -368,7 +368,7 @@
 
     fn serve(self: &Arc<Link>, up: bool) {
         let mut got = Vec::new();
-        self.read_on(self, up, &mut got);
+        self.read_on(up, &mut got);
         self.keep(got.len(), 0);
         // Nothing passes here any more, in either direction.
         self.closed.store(true, Ordering::Relaxed);
@@ -400,7 +400,7 @@
         short(now) <= short(before) || kept <= self.common.most_half
     }
 
-    fn read_on(&self, own: &Arc<Link>, mut up: bool, got: &mut Vec<u8>) {
+    fn read_on(self: &Arc<Link>, mut up: bool, got: &mut Vec<u8>) {
         let mut deaf = false;
         let mut unread = 0;
         loop {
@@ -436,7 +436,7 @@
             // What a backend wrote before its end passes only as fast as the client takes it.
             let (ended, passes) = (unread & ENDED != 0, matches!(self.conn, Conn::Backend(_)));
             if unread != 0 && (!self.full() || ended && !passes) {
-                match self.read(own, ended, got, &mut deaf) {
+                match self.read(ended, got, &mut deaf) {
                     Ok(true) => unread = 0,
                     Ok(false) => {}
                     Err(why) => return self.ended(why),
@@ -457,18 +457,12 @@
 
     /// Reads all there is, or until it is full; true if that was all. A short read is the last one, unless the
     /// other side has ended.
-    fn read(
-        &self,
-        own: &Arc<Link>,
-        to_the_end: bool,
-        got: &mut Vec<u8>,
-        deaf: &mut bool,
-    ) -> Result<bool, Why> {
+    fn read(self: &Arc<Link>, to_the_end: bool, got: &mut Vec<u8>, deaf: &mut bool) -> Result<bool, Why> {
         let mut scratch = self.common.scratch.borrow_mut();
         loop {
             if got.len() > resp::MESSAGE && !*deaf && !self.may_grow() {
                 if !self.crowded.swap(true, Ordering::Relaxed) {
-                    self.common.crowd.borrow_mut().push(own.clone());
+                    self.common.crowd.borrow_mut().push(self.clone());
                     self.tell(Event::Body(self.number() as u64, false));
                 }
                 return Ok(false);
@@ -556,7 +550,7 @@
                         Stage::Head => match resp::head(rest).map_err(|_| Why::BadFraming)? {
                             Some((left, n)) => {
                                 *self.stage.borrow_mut() = Stage::Waits { left };
-                                Some((Event::Begun(id, left), n))
+                                Some((Event::Begun(id), n))
                             }
                             None => {
                                 let m = resp::reply(rest).map_err(|_| Why::BadFraming)?;
@@ -582,22 +576,21 @@
                 });
                 return Ok(done);
             };
-            if n > resp::MESSAGE && matches!(self.conn, Conn::Client(_)) {
-                self.common.long.fetch_add(n, Ordering::Relaxed);
-                self.long.borrow_mut().push_back(n);
-                self.owed.fetch_add(1, Ordering::Relaxed);
-                self.common.inbox.push(event);
-            } else {
-                self.tell(event);
-            }
+            self.tell_of(event, if n > resp::MESSAGE { n } else { 0 });
             done += n;
         }
     }
 
     fn tell(&self, event: Event) {
+        self.tell_of(event, 0);
+    }
+
+    /// Of a command that holds so many bytes, until it is answered, where it is a long one.
+    fn tell_of(&self, event: Event, long: usize) {
         if matches!(event, Event::Command(..)) {
             self.owed.fetch_add(1, Ordering::Relaxed);
-            self.long.borrow_mut().push_back(0);
+            self.long.borrow_mut().push_back(long);
+            self.common.long.fetch_add(long, Ordering::Relaxed);
         }
         self.common.inbox.push(event);
     }
--- a/gateway/tests/reducer.rs
+++ b/gateway/tests/reducer.rs
@@ -806,12 +806,12 @@
 fn a_long_value_passes_in_its_turn_and_is_never_asked_for_again() {
     let mut b = bench();
     b.client(1).client(2).call(1, "look", 5).call(1, "look", 6).until(0.05).up(4).up(5).text.clear();
-    b.event(Event::Begun(5, 100_000)).value(4, "first").until(5.0);
+    b.event(Event::Begun(5)).value(4, "first").until(5.0);
     call(&mut b, 9, "GET /stats");
     b.event(Event::Passed(5)).event(Event::Rest(5, None, None, false)).call(1, "look", 7).until(5.02).text +=
         "--\n";
     // The same one breaks off.
-    b.event(Event::Begun(5, 100_000)).until(5.1).ended(Conn::Backend(5), Why::Reset, false).until(8.0);
+    b.event(Event::Begun(5)).until(5.1).ended(Conn::Backend(5), Why::Reset, false).until(8.0);
     b.only(|l| !l.contains("ounter"));
     b.is_but_list(expect![[r#"
         0.050 client 1: $5 first
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -750,7 +750,7 @@
         let u = self.chance();
         let j = (i + (u * (good.len().max(2) - 1) as f64) as usize + 1) % good.len();
         // The second is one with an idle connection, if any: a new one costs both sides a handshake.
-        let open = |b: &Backend| !slow && b.rests(now - self.may.link_idle / 2.0);
+        let open = |b: &Backend| !slow && b.high <= 1.0 && b.rests(now - self.may.link_idle / 2.0);
         let opens: Vec<Tgt> = good.iter().copied().filter(|t| open(&self.backends[t])).collect();
         let other = opens.get((u * opens.len() as f64) as usize).unwrap_or(&good[j]);
         // The units we have out there, against its size, its slowness beside its fellows and its warmth.
--- a/src/state.rs
+++ b/src/state.rs
@@ -125,9 +125,9 @@
         let (back, unused) = (f64::NEG_INFINITY, f64::INFINITY);
         Backend { is, high: 1.0, quiet_since, good_at, known, proven, back, unused, ..Backend::default() }
     }
-    /// A connection to it stands idle, taken up after then, and its answers are no slower than its fellows'.
+    /// A connection to it stands idle, taken up after then.
     pub fn rests(&self, then: f64) -> bool {
-        self.out == 0 && self.high <= 1.0 && self.streak(0, then) > 0
+        self.out == 0 && self.streak(0, then) > 0
     }
     /// It is in another zone than ours, where crossing is charged for.
     pub fn far(&self, home: Option<usize>) -> bool {
