--- a/gateway/tests/loopback.rs
+++ b/gateway/tests/loopback.rs
@@ -9,6 +9,9 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+mod help;
+use help::{free, reach, Door};
+
 #[path = "../../examples/toy.rs"]
 mod toy;
 
@@ -18,31 +21,10 @@
     program.spawn().expect("the program starts")
 }
 
-/// Front doors that end with the test, whatever comes of it.
-struct Started(Vec<Child>);
-
-impl Drop for Started {
-    fn drop(&mut self) {
-        for door in &mut self.0 {
-            let _ = door.kill(); // it may have ended
-            let _ = door.wait();
-        }
-    }
-}
-
-fn free() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let at = listener.local_addr().expect("an address");
-    (listener, at)
-}
-
 /// Waits until it accepts, and has its list.
 fn up(at: &[SocketAddr]) {
     for at in at {
-        let from = Instant::now();
-        while TcpStream::connect(at).is_err() && from.elapsed() < Duration::from_secs(10) {
-            sleep(Duration::from_millis(10));
-        }
+        reach(*at);
     }
     sleep(Duration::from_millis(200));
 }
@@ -98,8 +80,8 @@
         .replace("\"memory_mb\": 192", "\"memory_mb\": 1");
     let good = folder.join("good.json");
     std::fs::write(&good, &told).expect("a file");
-    let mut started = Started(vec![start(&good)]);
-    let door = &mut started.0[0];
+    let mut started = Door(start(&good));
+    let door = &mut started.0;
     up(&[listen]);
 
     text += &say(listen, "*1\r\n$4\r\nPING\r\n", 1);
@@ -183,14 +165,14 @@
             r#""tariffs": [{"name": "capped", "per_second": 0, "depth": 0, "parallel": 2,
                  "ceiling_rate": 0, "ceiling_slack": 0, "hard_burst": 0}, "#,
         );
-    let (mut doors, mut at) = (Started(vec![]), vec![]);
+    let (mut doors, mut at) = (vec![], vec![]);
     for (slot, told) in [&example, &example, &fresh, &fresh].into_iter().enumerate() {
         let (_, listen) = free();
         let file = folder.join(format!("mixed-{slot}.json"));
         let told = told.replace("127.0.0.1:7400", &listen.to_string());
         std::fs::write(&file, told.replace("\"slot_no\": 0", &format!("\"slot_no\": {slot}")))
             .expect("a file");
-        doors.0.push(start(&file));
+        doors.push(Door(start(&file)));
         at.push(listen);
     }
     up(&at);
@@ -223,7 +205,7 @@
     assert!(!again.starts_with('-'), "a place came back: {again}");
     let old = say(at[0], &toy::invocation_of("capped", (2, 2), "look", 1000), 1);
     assert_eq!(old.trim(), "-ERR unknown plan");
-    for door in &mut doors.0 {
+    for Door(door) in &mut doors {
         kill(Pid::from_raw(i32::try_from(door.id()).expect("a process id")), Signal::SIGTERM)
             .expect("it runs");
         assert_eq!(door.wait().expect("it ends").code(), Some(0));
--- a/gateway/tests/passed.rs
+++ b/gateway/tests/passed.rs
@@ -5,23 +5,12 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-/// A front door that ends with the test.
-struct Door(Child);
-
-impl Drop for Door {
-    fn drop(&mut self) {
-        let _ = self.0.kill(); // it may have ended
-        let _ = self.0.wait();
-    }
-}
-
-fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
-}
+mod help;
+use help::{free, reach, Door};
 
 fn folder(name: &str) -> PathBuf {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
@@ -46,14 +35,7 @@
 
 /// What an operator's call gets: the status and the body.
 fn call(at: SocketAddr, call: &str) -> String {
-    let from = Instant::now();
-    let mut to = loop {
-        match TcpStream::connect(at) {
-            Ok(to) => break to,
-            Err(e) => assert!(from.elapsed() < Duration::from_secs(10), "{e}"),
-        }
-        sleep(Duration::from_millis(5));
-    };
+    let mut to = reach(at);
     write!(to, "{call} HTTP/1.1\r\nHost: x\r\n\r\n").expect("it reads");
     let mut said = String::new();
     to.read_to_string(&mut said).expect("it ends");
@@ -80,7 +62,7 @@
         let mut program = program(&folder, &mgmt.to_string());
         Door(program.env("EDGE_PASSED_SOCKET", fd.to_string()).spawn().expect("the program starts"))
     };
-    let (first, second) = (free(), free());
+    let (first, second) = (free().1, free().1);
     let mut old = start(first);
     assert_eq!(call(first, "GET /healthcheck"), "200 serving");
     let connect = || TcpStream::connect(listen).expect("it listens");
@@ -140,7 +122,7 @@
     }
     // A spoilt file stops nothing.
     std::fs::write(folder.join("quillramp-n0.json"), "{\"out\": 3").expect("a file");
-    let (mgmt, listen) = (free(), free());
+    let (mgmt, listen) = (free().1, free().1);
     let mut program = program(&folder, &mgmt.to_string());
     let told = std::fs::read_to_string(folder.join("told.json")).expect("written");
     std::fs::write(folder.join("told.json"), told.replace("127.0.0.1:7400", &listen.to_string()))
--- a/gateway/tests/streams.rs
+++ b/gateway/tests/streams.rs
@@ -2,9 +2,12 @@
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
-use std::process::{Child, Command};
+use std::process::Command;
 use std::thread::{sleep, spawn};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+mod help;
+use help::{free, reach, Door};
 
 #[allow(dead_code)]
 #[path = "../../examples/toy.rs"]
@@ -12,15 +15,6 @@
 
 const LONG: usize = 4 * 1024 * 1024;
 
-struct Door(Child);
-
-impl Drop for Door {
-    fn drop(&mut self) {
-        let _ = self.0.kill(); // it may have ended
-        let _ = self.0.wait();
-    }
-}
-
 fn byte(i: usize) -> u8 {
     (i / 7 % 251) as u8
 }
@@ -63,14 +57,8 @@
 }
 
 fn start(name: &str, memory_mb: usize) -> (Door, SocketAddr) {
-    let bind = || {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let at = listener.local_addr().expect("an address");
-        (listener, at)
-    };
-    let ((behind, behind_at), (counter, counter_at), (list, list_at), (free, listen)) =
-        (bind(), bind(), bind(), bind());
-    drop(free);
+    let ((behind, behind_at), (counter, counter_at), (list, list_at)) = (free(), free(), free());
+    let (_, listen) = free();
     backend(behind);
     toy::counter(counter);
     toy::list(
@@ -94,10 +82,7 @@
     let mut program = Command::new(env!("CARGO_BIN_EXE_quillramp"));
     let door =
         Door(program.env("EDGE_CONFIG", file).env("TMPDIR", folder).spawn().expect("the program starts"));
-    let from = Instant::now();
-    while TcpStream::connect(listen).is_err() && from.elapsed() < Duration::from_secs(10) {
-        sleep(Duration::from_millis(10));
-    }
+    reach(listen);
     sleep(Duration::from_millis(200)); // it has its list
     (door, listen)
 }
