--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,7 +1,6 @@
 //! All decisions of one front door. Interface: `types.rs`; what it remembers: `state.rs`. The caller tells
-//! facts (by what returns nothing) and asks three: `place` (where does this invocation go, or not yet,
-//! or never), `after` (what now, after this outcome), `wait` (how long until the next look, and whom to ask
-//! about again). It keeps timer and invocations; errands (calls, words, cancels, log) leave with answers.
+//! facts (by what returns nothing) and asks three: `place` (where this invocation goes, or not yet, or
+//! never), `after` (what now, after this outcome), `wait` (when to look next, at whom). Errands go with each.
 //! Quota: a customer's count on the counter service holds the units taken since its window began. The store
 //! it stands for regains `rate` a second, so the allowance is the burst plus that, and a count that lags
 //! behind what the store regained is lifted to it (a full store spills); so is a forgotten or a new count.
@@ -9,7 +8,7 @@
 use crate::types::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const WINDOW: f64 = 30.0; // one name of a count; long, for an edge costs a call to carry the level over
 const LAPSE: f64 = 1.0; // an unspent lease goes back
@@ -66,42 +65,36 @@
     }
 }
 
+impl Store {
+    /// It is not asked: it is silent, or was waited for, or, unless it is being asked already, calls run
+    /// short: a crowded one serves those first that can't do without (`spares`: this one could).
+    fn passes(&self, waited: bool, asked: bool, spares: bool) -> bool {
+        let least = if spares { (self.pace * PACE_SPAN.0 / 2.0).max(1.0) } else { 1.0 };
+        self.silent || waited || !asked && self.calls < least
+    }
+}
+
 // ======== for the instance
 #[derive(Default)]
 pub struct Door {
     rng: Option<ChaCha8Rng>,
     doors: f64,
-    own: f64,   // processes of this door
-    hears: f64, // words a second
-    say: f64,   // words to one door, saved up
-    said: f64,
+    own: f64, // processes of this door
+    words: Words,
     operations: Vec<Operation>,
     plans: Vec<Plan>,
     rules: ColdStart,
     may: Deliveries,
-    counter: Option<CounterLimits>,
     invs: BTreeMap<Inv, Invocation>,
     accounts: BTreeMap<Customer, Account>,
     backends: BTreeMap<Tgt, Backend>,
-    high: Vec<f64>, // for a unit, by operation, over all backends
-    half: Vec<f64>, // the median, and the least it has been of late
-    base: Vec<f64>,
-    limit: f64,     // units out at all backends
-    near: bool,     // half of it was out when we last looked
-    full: f64,      // when we last had all of it out
+    times: Vec<Times>, // by operation, over all backends
+    all: AllOut,
     hard: Vec<f64>, // shares of deliveries that found no connection, no answer by operation, no room by plan
     repeats: f64,
-    misses: u32,
-    heard: f64,
-    quick: f64, // the counter's quickest answer of late
-    silent: bool,
-    recall: f64,
+    store: Store,
     woke: f64,
-    pace: f64, // counter calls a second that we allow ourselves
-    paced: f64,
-    asked: f64, // the share of what was let in that the counter was asked about
-    calls: f64, // of them, saved up
-    again: Vec<Inv>,
+    again: BTreeSet<Inv>,
     idle: Vec<Customer>,
     bells: BTreeMap<(u64, u64), Bell>,
     rung: u64,
@@ -115,20 +108,19 @@
         (rules, may): (ColdStart, Deliveries),
         counter: Option<CounterLimits>,
     ) -> Door {
-        let high: Vec<f64> = operations.iter().map(|o| o.latency_objective / 4.0).collect();
-        let (half, base) = (high.clone(), high.clone());
+        let times = operations.iter().map(|o| Times::first(o.latency_objective / 4.0)).collect();
         let (rng, woke) = (Some(ChaCha8Rng::seed_from_u64(seed)), f64::INFINITY);
-        let (repeats, pace) = (REPEATS.1 / 2.0, PACE.1 / doors);
+        let (repeats, pace, words) = (REPEATS.1 / 2.0, PACE.1 / doors, Words { hears, ..Words::default() });
+        // Where there is no counter, it is silent for good.
+        let (timeout, calls) = (counter.map_or(0.0, |c| c.timeout), pace * PACE_SPAN.0);
+        let store = Store { pace, calls, timeout, silent: counter.is_none(), asked: 1.0, ..Store::default() };
         let hard = vec![0.0; 1 + operations.len() + plans.len()];
+        let bells = asks.then_some(((0, 0), Bell::List)).into_iter().collect();
         #[rustfmt::skip]
-        let mut door = Door {
-            rng, doors, hears, operations, plans, rules, may, counter, high, repeats, pace, asked: 1.0,
-            calls: pace * PACE_SPAN.0, hard, woke, half, base, own: 1.0, ..Door::default()
+        return Door {
+            rng, doors, operations, plans, rules, may, times, repeats, words, store, hard, woke,
+            bells, own: 1.0, ..Door::default()
         };
-        if asks {
-            door.ring(0.0, Bell::List);
-        }
-        door
     }
 
     // ======== facts
@@ -136,17 +128,16 @@
     /// The list, or what changed in it; `whole` replaces it, so what it lacks is gone.
     pub fn listed(&mut self, now: f64, whole: bool, entries: &[Listed]) {
         if self.backends.is_empty() {
-            let first = (LIMIT.0 * entries.len() as f64 / self.doors).max(1.0);
-            (self.limit, self.heard, self.paced) = (first, now, now); // the first sign of time
+            let first = (LIMIT.0 * entries.len() as f64 / self.doors).max(1.0); // the first sign of time
+            (self.all.limit, self.store.heard, self.store.paced) = (first, now, now);
         }
         if whole {
             self.backends.values_mut().for_each(|b| b.is.standing = Standing::Gone);
         }
         for &is in entries {
-            let old = self.backends.remove(&is.tgt);
-            let b = old.unwrap_or_else(|| Backend::new(now, is, self.hard.len()));
-            let b = if b.is.started == is.started { Backend { is, ..b } } else { b.anew(now, is) };
-            self.backends.insert(is.tgt, b);
+            let b = self.backends.entry(is.tgt).or_insert_with(|| Backend::new(now, is, self.hard.len()));
+            let same = b.is.started == is.started;
+            *b = if same { Backend { is, ..std::mem::take(b) } } else { b.anew(now, is) };
         }
     }
 
@@ -225,9 +216,9 @@
     pub fn place(&mut self, now: f64, inv: Inv, ask: &Ask) -> Answer {
         self.awake(now);
         if !self.invs.contains_key(&inv) {
-            let most = self.counter.map_or(0.0, |c| c.timeout).min((ask.until - now) / 4.0);
+            let most = self.store.timeout.min((ask.until - now) / 4.0);
             let least = DEADLINE.0 * self.operations[ask.operation].latency_objective;
-            let counter_until = now + most.min(least.max(DEADLINE.1 * self.quick));
+            let counter_until = now + most.min(least.max(DEADLINE.1 * self.store.quick));
             let (ask, came, luck, last) = (*ask, now, self.chance(), ask.until - ANSWER_BY);
             self.invs.insert(inv, Invocation { ask, came, last, luck, counter_until, ..Default::default() });
             self.ring(counter_until, Bell::Inv(inv));
@@ -244,11 +235,9 @@
         let (ask, sent) = (v.ask, v.deliveries[o.delivery].sent);
         v.deliveries[o.delivery].ending = Some(o.ending);
         let (out, left, streams, closed) = (v.out(), v.closed, v.streams, v.closed || o.closed);
-        if let Some(a) = self.accounts.get_mut(&ask.customer) {
-            if let Some(units) = o.true_units {
-                a.settle += units - ask.units;
-                self.look_after(ask.customer, now + LAPSE);
-            }
+        if let Some((a, units)) = self.accounts.get_mut(&ask.customer).zip(o.true_units) {
+            a.settle += units - ask.units;
+            self.look_after(ask.customer, now + LAPSE);
         }
         self.judge(now, &ask, (sent, left, streams), o);
         if closed {
@@ -263,17 +252,16 @@
         let at = now.to_bits();
         while let Some(e) = self.bells.first_entry().filter(|e| e.key().0 <= at || vain(e, &self.invs)) {
             match e.remove() {
-                Bell::Inv(inv) => self.again.push(inv),
+                Bell::Inv(inv) => drop(self.again.insert(inv)),
                 Bell::Customer(c) => self.lapse(now, c),
                 Bell::List => self.errands.ask_for_list = true,
             }
         }
-        self.again.sort_unstable();
-        self.again.dedup();
         self.again.retain(|inv| self.invs.get(inv).is_some_and(|v| !v.closed));
+        let again = std::mem::take(&mut self.again).into_iter().collect();
         let seconds = self.bells.keys().next().map(|k| f64::from_bits(k.0) - now);
         let (idle, errands) = (std::mem::take(&mut self.idle), std::mem::take(&mut self.errands));
-        Wait { again: std::mem::take(&mut self.again), idle, seconds, errands }
+        Wait { again, idle, seconds, errands }
     }
 
     /// The door itself stood still: the silence meanwhile is not its backends'.
@@ -291,16 +279,7 @@
     /// Quota first; then the next delivery, as far as the operation allows one.
     fn decide(&mut self, now: f64, inv: Inv) -> Verdict {
         if !self.invs[&inv].admitted {
-            if !self.invs[&inv].paid {
-                if let Some(no) = self.quota(now, inv) {
-                    return no;
-                }
-                self.invs.get_mut(&inv).expect("held").paid = true;
-            }
-            if let Some(no) = self.place_of(now, inv) {
-                if no != Verdict::NotYet {
-                    self.give_back(now, inv);
-                }
+            if let Some(no) = self.quota(now, inv).or_else(|| self.place_of(now, inv)) {
                 return no;
             }
             self.invs.get_mut(&inv).expect("held").admitted = true;
@@ -309,9 +288,9 @@
         let (ask, came, luck) = (v.ask, v.came, v.luck);
         let Operation { latency_objective: objective, effect } = self.operations[ask.operation];
         let (out, tries, left) = (v.out(), v.deliveries.len(), ask.until - now);
-        let (units, high) = (ask.units.max(1.0), self.high[ask.operation] * ask.units.max(1.0));
-        let mut may_have_run = v.deliveries.iter().filter(|d| !d.ending.is_some_and(Ending::never_ran));
-        let ran = may_have_run.next().map(|d| (d.tgt, d.sent));
+        let (units, high) = (ask.units.max(1.0), self.times[ask.operation].high * ask.units.max(1.0));
+        let ran = v.deliveries.iter().find(|d| !d.ending.is_some_and(Ending::never_ran));
+        let ran = ran.map(|d| (d.tgt, d.sent));
         let (may_repeat, bound) = match (ran, effect) {
             (None, _) | (_, Effect::Idempotent) => (true, None),
             (Some((tgt, sent)), Effect::Tokened { group, window }) => {
@@ -327,7 +306,7 @@
             if now < v.look || effect != Effect::Idempotent || late || tries >= self.may.most {
                 return Verdict::NotYet;
             }
-            let quiet = self.backends[&v.deliveries[i].tgt].quiet(now, self.high[ask.operation]);
+            let quiet = self.backends[&v.deliveries[i].tgt].quiet(now, self.times[ask.operation].high);
             if self.repeats < 1.0 || !quiet && now - v.deliveries[i].sent <= DOUBT * high {
                 return self.look_again(now, inv, high / 2.0);
             }
@@ -352,8 +331,7 @@
         self.invs.get_mut(&inv).expect("held").deliveries.push(Delivery { tgt, sent: now, ending: None });
         let b = self.backends.get_mut(&tgt).expect("picked");
         (b.quiet_since, b.unused) = (if b.out == 0 { now } else { b.quiet_since }, f64::INFINITY);
-        b.out += 1;
-        b.owes += units;
+        b.heavier(units);
         b.aside = b.aside.map(|a| Aside { until: a.until.max(now + a.span), ..a }); // one trial a span
         Verdict::Deliver { tgt }
     }
@@ -414,6 +392,9 @@
     /// The quota's word: spend from the lease, lease anew, refuse when the count is full; none is yes.
     fn quota(&mut self, now: f64, inv: Inv) -> Option<Verdict> {
         let v = &self.invs[&inv];
+        if v.paid {
+            return None;
+        }
         let (customer, units, past) = (v.ask.customer, v.ask.units, now >= v.counter_until);
         self.account(now, (customer, v.ask.plan, v.ask.of));
         let a = self.accounts.get_mut(&customer).expect("just made");
@@ -448,46 +429,44 @@
         let leasing = a.calls.iter().any(|c| matches!(c.what, Errand::Lease { .. }));
         // A full slice smaller than the request goes into debt: else small quotas get nothing in silence.
         let fits = a.slice >= units.min(most);
-        let saved = (self.pace * PACE_SPAN.0).max(PACE_SPAN.1);
-        (self.calls, self.paced) = ((self.calls + self.pace * (now - self.paced)).min(saved), now);
-        // A crowded counter serves those first whose slice is dry.
-        let least = if fits { plenty(self.pace) } else { 1.0 };
+        let store = &mut self.store;
+        let saved = (store.pace * PACE_SPAN.0).max(PACE_SPAN.1);
+        (store.calls, store.paced) = ((store.calls + store.pace * (now - store.paced)).min(saved), now);
         let need = units - a.unspent(now);
-        if need > room && !leasing && !self.silent {
+        if need > room && !leasing && !store.silent {
             return Some(throttle(&self.may, (need - room) / p.rate));
         }
-        if self.silent || past || !leasing && self.calls < least || self.counter.is_none() {
+        if store.passes(past, leasing, fits) {
             a.waiting.retain(|w| *w != inv);
             let (idle, short) = (a.calls.is_empty(), (units.min(most) - a.slice) / even);
             // Whom a crowded counter can't be asked about goes into debt, while the backends keep up.
-            let trust = !self.silent && rich && now - self.full > PAUSE;
+            let trust = !store.silent && rich && now - self.all.full > PAUSE;
             let fits = (fits || trust && a.slice > -OWED * p.burst) && !capped;
             if fits {
-                drift(&mut self.asked, self.silent); // a silent counter is not crowded
+                drift(&mut store.asked, store.silent); // a silent counter is not crowded
                 a.slice -= units;
                 a.sliced += units;
                 a.ceiling -= units;
                 self.look_after(customer, now + LAPSE);
             }
-            if self.silent && now >= self.recall && idle && self.counter.is_some() {
-                self.recall = now + RECALL;
+            if self.store.silent && now >= self.store.recall && idle && self.store.timeout > 0.0 {
+                self.store.recall = now + RECALL;
                 self.call(now, (customer, series), (0.0, 0.0), Errand::Return);
-            } else if past && !self.silent && !idle {
+            } else if past && !self.store.silent && !idle {
                 self.missed(now);
             }
             return if fits { None } else { Some(throttle(&self.may, short)) };
         }
-        if leasing {
-            a.waiting.push(inv); // one call in flight serves all that wait for it
-            return Some(Verdict::NotYet);
-        }
-        let units = need.max(if rich && often { p.burst * BATCH } else { 0.0 });
-        // A call stands for others of this customer, let in on trust at doors that will not call for it soon.
-        let owed = owed + if owed < WORTH { STANDS * need * (1.0 / self.asked.max(0.1) - 1.0) } else { 0.0 };
-        drift(&mut self.asked, true);
-        (a.settle, a.sliced) = (0.0, 0.0);
-        a.waiting.push(inv);
-        self.call(now, (customer, series), (units + owed, owed), Errand::Lease { units });
+        a.waiting.push(inv); // one call in flight serves all that wait for it
+        if !leasing {
+            let units = need.max(if rich && often { p.burst * BATCH } else { 0.0 });
+            // It stands for others of this customer, let in on trust at doors that will not call soon.
+            let stands = STANDS * need * (1.0 / self.store.asked.max(0.1) - 1.0);
+            let owed = owed + if owed < WORTH { stands } else { 0.0 };
+            drift(&mut self.store.asked, true);
+            (a.settle, a.sliced) = (0.0, 0.0);
+            self.call(now, (customer, series), (units + owed, owed), Errand::Lease { units });
+        }
         Some(Verdict::NotYet)
     }
 
@@ -495,25 +474,26 @@
     /// when the invocation has none out; none is yes. What a dead door held is forgotten with the count.
     fn place_of(&mut self, now: f64, inv: Inv) -> Option<Verdict> {
         let v = self.invs.get_mut(&inv).expect("held");
-        let (customer, past, hold) = (v.ask.customer, now >= v.counter_until, self.half[v.ask.operation]);
+        v.paid = true;
+        let (customer, past) = (v.ask.customer, now >= v.counter_until);
+        let hold = self.times[v.ask.operation].half;
         let a = self.accounts.get_mut(&customer).expect("has an account");
         let (open, doors) = (self.plans[a.plan].open as f64, a.doors * self.own);
         if open <= 0.0 {
             return None;
         }
-        if let Some(series) = a.free.pop() {
-            v.place = Some(series);
-            a.seeking.retain(|w| *w != inv);
+        a.seeking.retain(|w| *w != inv);
+        v.place = a.free.pop();
+        if v.place.is_some() {
             return None;
         }
         // The even share of less than one place is one place for that part of the time.
         let fits = now >= a.own_again && (a.out as f64) < (open / doors).ceil();
         let asked = a.calls.iter().filter(|c| matches!(c.what, Errand::Place)).count();
-        let least = if fits { plenty(self.pace) } else { 1.0 };
         let full = now < a.full_until;
-        if full || self.silent || past || asked == 0 && self.calls < least || self.counter.is_none() {
-            a.seeking.retain(|w| *w != inv);
+        if full || self.store.passes(past, asked > 0, fits) {
             if full || !fits {
+                self.give_back(now, inv);
                 return Some(throttle(&self.may, hold / open));
             }
             a.own_again = now + OWN * hold * (doors / open - 1.0).max(0.0);
@@ -521,9 +501,7 @@
             v.place = Some(0);
             return None;
         }
-        if !a.seeking.contains(&inv) {
-            a.seeking.push(inv);
-        }
+        a.seeking.push(inv);
         if asked < a.seeking.len() {
             let series = PLACES.0 + (now / PLACES.1) as u32;
             self.call(now, (customer, series), (1.0, 0.0), Errand::Place);
@@ -542,7 +520,7 @@
             let fits = total.is_some_and(|t| t <= open);
             if total.is_some() && !fits {
                 // Till then one of those that are out will have come back.
-                a.full_until = now + self.half.iter().copied().fold(f64::INFINITY, f64::min) / open;
+                a.full_until = now + self.times.iter().map(|t| t.half).fold(f64::INFINITY, f64::min) / open;
             }
             if fits && free < seeking.len() {
                 a.free.push(name.series);
@@ -561,7 +539,7 @@
     fn vacate(&mut self, now: f64, customer: Customer, place: Option<u32>) {
         let (Some(series), Some(a)) = (place, self.accounts.get_mut(&customer)) else { return };
         a.out = a.out.saturating_sub(1);
-        if series > 0 && !self.silent {
+        if series > 0 && !self.store.silent {
             self.call(now, (customer, series), (-1.0, -1.0), Errand::Return);
         }
     }
@@ -569,7 +547,7 @@
     fn call(&mut self, now: f64, (customer, series): (Customer, u32), (add, paid): (f64, f64), what: Errand) {
         let calls = &mut self.accounts.get_mut(&customer).expect("has an account").calls;
         calls.push_back(Call { series, sent: now, add, paid, what });
-        self.calls -= 1.0;
+        self.store.calls -= 1.0;
         let name = CountName { customer, series };
         self.errands.counter.push(CounterCall { name, add, lives: 1.5 * WINDOW });
     }
@@ -579,9 +557,10 @@
         self.heard(now);
         let a = self.accounts.get_mut(&name.customer).expect("has calls");
         let p = &self.plans[a.plan];
-        self.again.append(&mut a.waiting);
+        self.again.extend(a.waiting.drain(..));
         let (current, whose, took) = (a.series == call.series, (name.customer, call.series), now - call.sent);
-        self.quick = if self.quick > 0.0 { (self.quick * (1.0 + DRIFT)).min(took) } else { took };
+        let quick = &mut self.store.quick;
+        *quick = if *quick > 0.0 { (*quick * (1.0 + DRIFT)).min(took) } else { took };
         let regained = p.rate * (now - f64::from(call.series) * WINDOW).max(0.0);
         let before = total - call.add;
         // What the count must have stood at: at least what the store regained; and, where it is new or was
@@ -593,8 +572,7 @@
             Errand::Lease { units } => {
                 let over = total + lag - p.burst - regained;
                 let fits = (units - over.max(0.0)).max(0.0);
-                a.lease = fits + a.unspent(now);
-                a.lapses = now + LAPSE;
+                a.leases(now, fits, LAPSE);
                 (units - fits, lag)
             }
             Errand::Lift { level } => (call.add - (level - before).clamp(0.0, call.add), 0.0),
@@ -621,10 +599,10 @@
 
     /// Says it to so many doors, as far as they can take words in.
     fn tell(&mut self, now: f64, word: Word, doors: f64) {
-        self.say = (self.say + TELLS * self.hears * (now - self.said)).min(self.doors.max(self.hears));
-        self.said = now;
-        if self.say >= doors {
-            self.say -= doors;
+        let Words { hears, say, said } = &mut self.words;
+        *say = (*say + TELLS * *hears * (now - std::mem::replace(said, now))).min(self.doors.max(*hears));
+        if *say >= doors {
+            *say -= doors;
             self.errands.words.push(word);
         }
     }
@@ -633,13 +611,11 @@
     fn give_back(&mut self, now: f64, inv: Inv) {
         let v = self.invs.get_mut(&inv).expect("held");
         let (ask, paid) = (v.ask, std::mem::take(&mut v.paid) && v.deliveries.is_empty());
-        let Some(a) = self.accounts.get_mut(&ask.customer).filter(|a| paid && self.plans[a.plan].rate > 0.0)
-        else {
-            return;
-        };
-        a.lease = ask.units + a.unspent(now);
-        a.lapses = now + LAPSE;
-        self.look_after(ask.customer, now + LAPSE);
+        let paid = paid && self.plans[ask.plan].rate > 0.0;
+        if let Some(a) = self.accounts.get_mut(&ask.customer).filter(|_| paid) {
+            a.leases(now, ask.units, LAPSE);
+            self.look_after(ask.customer, now + LAPSE);
+        }
     }
 
     /// One bell for a customer, at the earliest time asked for.
@@ -658,8 +634,7 @@
         let next = if lapsed { (a.used + IDLE).max(now + LAPSE) } else { a.lapses };
         a.settle -= if lapsed { std::mem::take(&mut a.lease) } else { 0.0 };
         let add = a.settle + a.sliced;
-        let free = !self.silent && self.calls >= plenty(self.pace);
-        if lapsed && quiet && add.abs() > WORTH && free && self.counter.is_some() {
+        if lapsed && quiet && add.abs() > WORTH && !self.store.passes(false, false, true) {
             (a.settle, a.sliced) = (0.0, 0.0);
             self.call(now, (customer, series), (add, add), Errand::Return);
         } else if now >= a.used + IDLE && quiet && !self.invs.values().any(|v| v.ask.customer == customer) {
@@ -670,30 +645,29 @@
     }
 
     fn heard(&mut self, now: f64) {
-        if self.silent {
-            let gap = now - self.heard;
+        if self.store.silent {
+            let gap = now - self.store.heard;
             self.errands.log.push(format!("counter answers again after {gap:.2} s; leases resume"));
-            self.pace /= 4.0; // no herd back to it
+            self.store.pace /= 4.0; // no herd back to it
         }
-        (self.silent, self.misses, self.heard) = (false, 0, now);
-        self.pace = (self.pace + PACE_STEP.0).clamp(PACE.0 / self.doors, PACE.2 / self.doors);
+        (self.store.silent, self.store.misses, self.store.heard) = (false, 0, now);
+        self.store.pace = (self.store.pace + PACE_STEP.0).clamp(PACE.0 / self.doors, PACE.2 / self.doors);
     }
 
     /// A call was missed: those that wait for it do so no longer.
     fn in_vain(&mut self, now: f64, waiting: Vec<Inv>) {
         self.missed(now);
-        for inv in &waiting {
-            self.invs.entry(*inv).and_modify(|v| v.counter_until = now);
-        }
+        self.invs.iter_mut().filter(|v| waiting.contains(v.0)).for_each(|(_, v)| v.counter_until = now);
         self.again.extend(waiting);
     }
 
     fn missed(&mut self, now: f64) {
-        self.misses += 1;
-        self.pace = (self.pace - PACE_STEP.1.min(self.pace * PACE_STEP.2)).max(PACE.0 / self.doors);
-        if !self.silent && self.misses >= MISSES && now - self.heard > PACE_SPAN.0 {
-            (self.silent, self.recall) = (true, now + RECALL);
-            let (n, gap) = (self.misses, now - self.heard);
+        let store = &mut self.store;
+        store.misses += 1;
+        store.pace = (store.pace - PACE_STEP.1.min(store.pace * PACE_STEP.2)).max(PACE.0 / self.doors);
+        let (n, gap) = (store.misses, now - store.heard);
+        if !store.silent && n >= MISSES && gap > PACE_SPAN.0 {
+            (store.silent, store.recall) = (true, now + RECALL);
             self.errands.log.push(format!("counter silent: {n} calls missed in {gap:.2} s; even slices"));
         }
     }
@@ -707,14 +681,14 @@
         let ready =
             || self.backends.values().filter(|b| b.ready() && kin.is_none_or(|(g, k)| key(b, g) == k));
         let Operation { latency_objective, effect } = self.operations[ask.operation];
-        let (high, span) = (self.high[ask.operation], PRESSED * latency_objective);
+        let (high, span) = (self.times[ask.operation].high, PRESSED * latency_objective);
         // Where answers come as fast as ever, what says nothing hangs; else it may be slow.
-        let slow = self.half[ask.operation] > SLOWED * self.base[ask.operation];
+        let slow = self.times[ask.operation].half > SLOWED * self.times[ask.operation].base;
         let counts = |b: &&Backend| b.aside.is_none() && (slow || !b.quiet(now, high));
         let all_out: f64 = ready().filter(counts).map(|b| b.owes).sum();
-        self.near = all_out * 2.0 > self.limit;
-        if all_out >= self.limit.max(ready().count() as f64 / self.doors).max(1.0) {
-            self.full = now;
+        self.all.near = all_out * 2.0 > self.all.limit;
+        if all_out >= self.all.limit.max(ready().count() as f64 / self.doors).max(1.0) {
+            self.all.full = now;
             return None; // answers slow down all over: no more out than come back in time
         }
         let (mut good, mut poor, mut pressed) = (vec![], vec![], false);
@@ -775,7 +749,7 @@
     /// What an outcome says of its backend.
     fn judge(&mut self, now: f64, ask: &Ask, (sent, left, streams): (f64, bool, bool), o: &Outcome) {
         let (op, units, kinds) = (ask.operation, ask.units.max(1.0), self.kinds(ask));
-        let (high, half, base) = (&mut self.high[op], &mut self.half[op], &mut self.base[op]);
+        let Times { high, half, base } = &mut self.times[op];
         let slow = o.took > SLOWED * *base;
         let Some(b) = self.backends.get_mut(&o.tgt) else { return };
         b.lighter(if streams { 0.0 } else { units });
@@ -796,9 +770,9 @@
         if o.ending == Ending::Succeeded || slow && b.aside.is_none() && !o.ending.never_ran() {
             // What a backend says of its load tells work that waits from work that is long.
             let full = o.report.is_some_and(|r| full(&r));
-            let less = if full { CUT * self.limit } else { 0.0 };
-            let more = if self.near && !full { LIMIT.1 } else { 0.0 };
-            self.limit = (self.limit + if slow { -less.max(LIMIT.1) } else { more }).max(1.0);
+            let less = if full { CUT * self.all.limit } else { 0.0 };
+            let more = if self.all.near && !full { LIMIT.1 } else { 0.0 };
+            self.all.limit = (self.all.limit + if slow { -less.max(LIMIT.1) } else { more }).max(1.0);
         }
         match o.ending {
             Ending::Succeeded => {
@@ -851,11 +825,6 @@
     *share += SHARE_STEP * (f64::from(u8::from(is)) - *share);
 }
 
-/// Calls saved up that leave room for those that could wait.
-fn plenty(pace: f64) -> f64 {
-    (pace * PACE_SPAN.0 / 2.0).max(1.0)
-}
-
 fn throttle(may: &Deliveries, seconds: f64) -> Verdict {
     Verdict::Throttle { retry_after: may.retry_after.map(|most| seconds.max(0.05).min(most)) }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,54 @@
 use std::collections::btree_map::{BTreeMap, OccupiedEntry};
 use std::collections::VecDeque;
 
+// ======== for the instance
+
+/// The counter, as this front door meets it.
+#[derive(Default)]
+pub struct Store {
+    pub misses: u32, // calls past their deadline on end
+    pub heard: f64,
+    pub quick: f64, // its quickest answer of late
+    pub silent: bool,
+    pub recall: f64, // while it is silent: when it is read again
+    pub timeout: f64,
+    pub pace: f64, // calls a second that we allow ourselves
+    pub paced: f64,
+    pub calls: f64, // of them, saved up
+    pub asked: f64, // the share of what was let in that it was asked about
+}
+
+/// Words to other front doors.
+#[derive(Default)]
+pub struct Words {
+    pub hears: f64, // words a second that one takes in
+    pub say: f64,   // words to one front door, saved up
+    pub said: f64,
+}
+
+/// What is out at all backends together.
+#[derive(Default)]
+pub struct AllOut {
+    pub limit: f64, // in units
+    pub near: bool, // half of it was out when we last looked
+    pub full: f64,  // when we last had all of it out
+}
+
+/// Answer times of one operation: the high quantile for a unit, the median, and the least that has been of late.
+#[derive(Clone, Copy)]
+pub struct Times {
+    pub high: f64,
+    pub half: f64,
+    pub base: f64,
+}
+
+impl Times {
+    /// Before any answer.
+    pub fn first(guess: f64) -> Times {
+        Times { high: guess, half: guess, base: guess }
+    }
+}
+
 // ======== for one delivery
 pub struct Delivery {
     pub tgt: Tgt,
@@ -82,6 +130,11 @@
 }
 
 impl Account {
+    /// So many units more are leased; all of the lease lapses so much later.
+    pub fn leases(&mut self, now: f64, units: f64, lapse: f64) {
+        self.lease = units + self.unspent(now);
+        self.lapses = now + lapse;
+    }
     /// What is left of the lease while it has not lapsed.
     pub fn unspent(&self, now: f64) -> f64 {
         if now < self.lapses {
@@ -147,6 +200,10 @@
         let Backend { out, owes, by_hand, back, unused, .. } = *self;
         Backend { out, owes, by_hand, back, unused, ..Backend::new(now, is, self.proven.len()) }
     }
+    /// One delivery more, of so many units.
+    pub fn heavier(&mut self, units: f64) {
+        (self.out, self.owes) = (self.out + 1, self.owes + units);
+    }
     /// A delivery of so many units is no longer its work; none if that was told before.
     pub fn lighter(&mut self, units: f64) {
         self.out = self.out.saturating_sub(usize::from(units > 0.0));
