What comes on a connection becomes events in a part without sockets

Need: an emulator is to run the front door's own code, codecs in the path, and the place in a backend's reply, the passing of long values and the order of a batch stood in the socket layer.

Change: memory/intake.rs takes bytes and tells events and pieces; link.rs moves bytes and hears. Event::order for the batch.

Not taken: a second copy of the state machine in the emulator, which would test itself.

--- a/gateway/src/memory/mod.rs
+++ b/gateway/src/memory/mod.rs
@@ -5,6 +5,7 @@
 mod counter;
 mod drain;
 pub mod event;
+pub mod intake;
 pub mod kept;
 mod list;
 mod operators;
--- a/gateway/src/sockets/drive.rs
+++ b/gateway/src/sockets/drive.rs
@@ -72,8 +72,7 @@
 
     fn step(&self, reducer: &mut Reducer, events: &mut Vec<Event>, batch: &mut Batch) -> Option<f64> {
         let now = self.clock.now();
-        // New work last: it must not go to a connection whose end is in the same batch.
-        events.sort_by_key(|e| matches!(e, Event::Command(..)));
+        Event::order(events);
         reducer.stats.written += self.common.written.swap(0, Ordering::Relaxed) as u64;
         for event in events.drain(..) {
             if let Event::Ended { conn, .. } = event {
--- a/gateway/src/sockets/link.rs
+++ b/gateway/src/sockets/link.rs
@@ -1,7 +1,8 @@
 //! One TCP connection of any kind: a coroutine reads and decodes; what is written leaves with the batch.
 use super::inbox::Inbox;
 use crate::memory::event::{Conn, Event, Why};
-use crate::wire::{http, manage, resp, Broken};
+use crate::memory::intake::{Hears, Intake};
+use crate::wire::resp;
 use atomic_refcell::AtomicRefCell;
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use std::collections::VecDeque;
@@ -29,19 +30,6 @@
 const AHEAD: usize = 64 * 1024;
 const LITTLE: usize = 4 * 1024;
 
-/// Where a backend's connection is in a reply.
-#[derive(Clone)]
-enum Stage {
-    /// At its beginning.
-    Head,
-    /// A long value has begun, and waits for the word to pass.
-    Waits { left: usize },
-    /// So much of it is still to pass: to a client, or to nobody.
-    Passes { left: usize, to: Option<Arc<Link>> },
-    /// Behind the value.
-    Rest,
-}
-
 /// What all connections share.
 pub struct Common {
     pub inbox: Arc<Inbox>,
@@ -116,8 +104,10 @@
     muted: AtomicBool,
     /// Deliveries written to a backend's connection that have not all left.
     deliveries: AtomicUsize,
-    /// A backend's: where it is in a reply; it was told to go on; something has passed; it waits for its client.
-    stage: AtomicRefCell<Stage>,
+    intake: AtomicRefCell<Intake>,
+    /// A backend's: the client that a value passes to; it was told to go on; something has passed; it waits for its
+    /// client.
+    passes_to: AtomicRefCell<Option<Arc<Link>>>,
     resumed: AtomicBool,
     moved: AtomicBool,
     waits: AtomicBool,
@@ -148,7 +138,7 @@
         let (waker, common) = (stream.waker(), common.clone());
         let (out, owed, closed) = (AtomicRefCell::default(), AtomicUsize::new(0), AtomicBool::new(false));
         let (muted, deliveries) = (AtomicBool::new(false), AtomicUsize::new(0));
-        let (stage, source) = (AtomicRefCell::new(Stage::Head), AtomicRefCell::default());
+        let (intake, source) = (AtomicRefCell::new(Intake::new(conn)), AtomicRefCell::default());
         let [resumed, moved, waits] = [(); 3].map(|()| AtomicBool::new(false));
         let counted = AtomicUsize::new(0);
         let link = Arc::new(Link {
@@ -163,7 +153,8 @@
             closed,
             muted,
             deliveries,
-            stage,
+            intake,
+            passes_to: AtomicRefCell::default(),
             resumed,
             moved,
             waits,
@@ -227,12 +218,12 @@
 
     /// What has begun here passes to this client from now on, or to nobody.
     pub fn pass(self: &Arc<Link>, to: Option<Arc<Link>>) {
-        let Stage::Waits { left } = *self.stage.borrow() else { return };
+        let Some(left) = self.intake.borrow_mut().passes() else { return };
         if let Some(to) = &to {
             to.out.borrow_mut().extend_from_slice(format!("${left}\r\n").as_bytes());
             *to.source.borrow_mut() = Some(self.clone());
         }
-        *self.stage.borrow_mut() = Stage::Passes { left, to };
+        *self.passes_to.borrow_mut() = to;
         self.resumed.store(true, Ordering::Relaxed);
         self.waker.wakeup();
     }
@@ -244,10 +235,12 @@
 
     /// How much of a value may be read now; all of it where nobody waits for it.
     fn ahead(&self) -> usize {
-        match &*self.stage.borrow() {
-            Stage::Head | Stage::Rest => SCRATCH,
-            Stage::Waits { .. } => 0,
-            Stage::Passes { to: Some(to), .. } if !to.closed.load(Ordering::Relaxed) => {
+        let intake = self.intake.borrow();
+        if intake.waits() {
+            return 0;
+        }
+        match &*self.passes_to.borrow() {
+            Some(to) if intake.is_passing() && !to.closed.load(Ordering::Relaxed) => {
                 let crowded = self.common.passing.load(Ordering::Relaxed) > self.common.most_passing;
                 match to.out.borrow().len() {
                     0 if crowded => LITTLE,
@@ -255,35 +248,8 @@
                     waiting => AHEAD - waiting,
                 }
             }
-            Stage::Passes { .. } => SCRATCH,
-        }
-    }
-
-    /// Passes the beginning of these bytes on, as far as they belong to the value; how many that were.
-    fn pass_bytes(&self, bytes: &[u8]) -> Result<usize, Why> {
-        let mut stage = self.stage.borrow_mut();
-        let Stage::Passes { left, to } = &mut *stage else { return Ok(0) };
-        let n = bytes.len().min(*left);
-        *left -= n;
-        self.moved.store(true, Ordering::Relaxed);
-        let end = if *left == 0 { bytes.get(n..n + 2) } else { None };
-        if end.is_some_and(|end| end != b"\r\n") {
-            return Err(Why::BadFraming);
-        }
-        if let Some(to) = to.as_ref().filter(|to| !to.closed.load(Ordering::Relaxed)) {
-            let mut out = to.out.borrow_mut();
-            out.extend_from_slice(&bytes[..n]);
-            out.extend_from_slice(end.unwrap_or_default());
-            drop(out);
-            to.flush();
+            _ => SCRATCH,
         }
-        let Some(end) = end else { return Ok(n) };
-        if let Some(to) = to.take() {
-            to.count(0);
-            *to.source.borrow_mut() = None;
-        }
-        *stage = Stage::Rest;
-        Ok(n + end.len())
     }
 
     /// One more delivery waits to leave.
@@ -378,9 +344,7 @@
         if let Some(source) = self.source.borrow_mut().take() {
             source.waker.wakeup();
         }
-        if let Stage::Passes { to: Some(to), .. } =
-            std::mem::replace(&mut *self.stage.borrow_mut(), Stage::Head)
-        {
+        if let Some(to) = self.passes_to.borrow_mut().take() {
             to.count(0);
             *to.source.borrow_mut() = None;
         }
@@ -401,7 +365,6 @@
     }
 
     fn read_on(self: &Arc<Link>, mut up: bool, got: &mut Vec<u8>) {
-        let mut deaf = false;
         let mut unread = 0;
         loop {
             let flags = self.stream.wait_io();
@@ -424,11 +387,11 @@
                     let _ = self.stream.inner().shutdown(Shutdown::Both);
                     return self.out.borrow_mut().clear(); // nothing more leaves
                 }
-                deaf = true;
+                self.intake.borrow_mut().deaf = true;
             }
             unread |= flags & READABLE;
             if self.resumed.swap(false, Ordering::Relaxed) && !got.is_empty() {
-                match self.decode(got, &mut deaf) {
+                match self.decode(got) {
                     Ok(done) => drop(got.drain(..done)),
                     Err(why) => return self.ended(why),
                 }
@@ -436,7 +399,7 @@
             // What a backend wrote before its end passes only as fast as the client takes it.
             let (ended, passes) = (unread & ENDED != 0, matches!(self.conn, Conn::Backend(_)));
             if unread != 0 && (!self.full() || ended && !passes) {
-                match self.read(ended, got, &mut deaf) {
+                match self.read(ended, got) {
                     Ok(true) => unread = 0,
                     Ok(false) => {}
                     Err(why) => return self.ended(why),
@@ -457,10 +420,10 @@
 
     /// Reads all there is, or until it is full; true if that was all. A short read is the last one, unless the
     /// other side has ended.
-    fn read(self: &Arc<Link>, to_the_end: bool, got: &mut Vec<u8>, deaf: &mut bool) -> Result<bool, Why> {
+    fn read(self: &Arc<Link>, to_the_end: bool, got: &mut Vec<u8>) -> Result<bool, Why> {
         let mut scratch = self.common.scratch.borrow_mut();
         loop {
-            if got.len() > resp::MESSAGE && !*deaf && !self.may_grow() {
+            if got.len() > resp::MESSAGE && !self.deaf() && !self.may_grow() {
                 if !self.crowded.swap(true, Ordering::Relaxed) {
                     self.common.crowd.borrow_mut().push(self.clone());
                     self.tell(Event::Body(self.number() as u64, false));
@@ -474,24 +437,24 @@
             }
             match self.stream.inner().read(&mut scratch[..room]) {
                 Ok(0) => return Err(Why::Closed),
-                Ok(_) if *deaf => {}
+                Ok(_) if self.deaf() => {}
                 Ok(n) => {
                     let before = got.len();
                     if got.is_empty() {
-                        let done = self.decode(&scratch[..n], deaf)?;
+                        let done = self.decode(&scratch[..n])?;
                         got.extend_from_slice(&scratch[done..n]);
                     } else {
                         if got.capacity() < got.len() + n && got.len() > resp::MESSAGE {
                             got.reserve_exact(STEP); // not by doubling
                         }
                         got.extend_from_slice(&scratch[..n]);
-                        let done = self.decode(got, deaf)?;
+                        let done = self.decode(got)?;
                         got.drain(..done);
                     }
                     if !self.keep(before, got.len()) {
-                        self.broken("too much unfinished", deaf);
+                        self.intake.borrow_mut().broken("too much unfinished", &mut Told(self));
                     }
-                    if *deaf {
+                    if self.deaf() {
                         self.keep(got.len(), 0);
                         self.has_room(0);
                         got.clear();
@@ -512,93 +475,47 @@
     }
 
     /// Tells of each whole message; how many bytes they took.
-    fn decode(&self, bytes: &[u8], deaf: &mut bool) -> Result<usize, Why> {
-        let mut done = 0;
-        loop {
-            let rest = &bytes[done..];
-            if rest.is_empty() {
-                return Ok(done);
-            }
-            let event = match self.conn {
-                Conn::Client(id) => match resp::command(rest) {
-                    Ok(m) => m.map(|(m, n)| (Event::Command(id, m), n)),
-                    Err(Broken(why)) => {
-                        self.broken(why, deaf);
-                        return Ok(bytes.len());
-                    }
-                },
-                Conn::Backend(id) => {
-                    let stage = self.stage.borrow().clone();
-                    match stage {
-                        Stage::Waits { .. } => return Ok(done),
-                        Stage::Passes { left, .. } => {
-                            let n = self.pass_bytes(rest)?;
-                            done += n;
-                            if n > left {
-                                self.tell(Event::Passed(id));
-                            } else if n == 0 {
-                                return Ok(done); // the end of the value is in two pieces
-                            }
-                            continue;
-                        }
-                        Stage::Rest => {
-                            let m = resp::tail(rest).map_err(|_| Why::BadFraming)?;
-                            let Some(((billed, report), n)) = m else { return Ok(done) };
-                            *self.stage.borrow_mut() = Stage::Head;
-                            Some((Event::Rest(id, billed, report, n < rest.len()), n))
-                        }
-                        Stage::Head => match resp::head(rest).map_err(|_| Why::BadFraming)? {
-                            Some((left, n)) => {
-                                *self.stage.borrow_mut() = Stage::Waits { left };
-                                Some((Event::Begun(id), n))
-                            }
-                            None => {
-                                let m = resp::reply(rest).map_err(|_| Why::BadFraming)?;
-                                m.map(|(m, n)| (Event::Reply(id, m, n < rest.len()), n))
-                            }
-                        },
-                    }
-                }
-                Conn::Operator(id) => {
-                    let call = manage::call(rest).map(|call| (Event::Call(id, call), rest.len()));
-                    *deaf |= call.is_some(); // one call to a connection
-                    call
-                }
-                conn => {
-                    let m = http::response(rest).map_err(|_| Why::BadFraming)?;
-                    m.map(|(m, n)| (Event::Response(conn, m), n))
-                }
-            };
-            let Some((event, n)) = event else {
-                self.tell(match self.conn {
-                    Conn::Client(id) if rest.len() > resp::MESSAGE => Event::Body(id, true),
-                    conn => Event::Partial(conn),
-                });
-                return Ok(done);
-            };
-            self.tell_of(event, if n > resp::MESSAGE { n } else { 0 });
-            done += n;
-        }
+    fn decode(&self, bytes: &[u8]) -> Result<usize, Why> {
+        self.intake.borrow_mut().decode(bytes, &mut Told(self))
+    }
+
+    fn deaf(&self) -> bool {
+        self.intake.borrow().deaf
     }
 
     fn tell(&self, event: Event) {
-        self.tell_of(event, 0);
+        self.common.inbox.push(event);
     }
+}
+
+/// What came on a connection goes to the inbox, and on to the client that it passes to.
+struct Told<'a>(&'a Link);
 
-    /// Of a command that holds so many bytes, until it is answered, where it is a long one.
-    fn tell_of(&self, event: Event, long: usize) {
+impl Hears for Told<'_> {
+    fn event(&mut self, event: Event, long: usize) {
+        let link = self.0;
         if matches!(event, Event::Command(..)) {
-            self.owed.fetch_add(1, Ordering::Relaxed);
-            self.long.borrow_mut().push_back(long);
-            self.common.long.fetch_add(long, Ordering::Relaxed);
+            link.owed.fetch_add(1, Ordering::Relaxed);
+            link.long.borrow_mut().push_back(long);
+            link.common.long.fetch_add(long, Ordering::Relaxed);
         }
-        self.common.inbox.push(event);
+        link.common.inbox.push(event);
     }
-
-    /// Nothing more of what this client says is understood.
-    fn broken(&self, why: &'static str, deaf: &mut bool) {
-        if let (Conn::Client(id), false) = (self.conn, std::mem::replace(deaf, true)) {
-            self.tell(Event::Command(id, resp::Command::Broken(why)));
+    fn piece(&mut self, bytes: &[u8], end: bool) {
+        let link = self.0;
+        link.moved.store(true, Ordering::Relaxed);
+        let to = link.passes_to.borrow().clone();
+        if let Some(to) = to.as_ref().filter(|to| !to.closed.load(Ordering::Relaxed)) {
+            let mut out = to.out.borrow_mut();
+            out.extend_from_slice(bytes);
+            out.extend_from_slice(if end { b"\r\n" } else { b"" });
+            drop(out);
+            to.flush();
+        }
+        if let Some(to) = to.filter(|_| end) {
+            to.count(0);
+            *to.source.borrow_mut() = None;
+            *link.passes_to.borrow_mut() = None;
         }
     }
 }
