--- a/gateway/src/memory/backends.rs
+++ b/gateway/src/memory/backends.rs
@@ -154,6 +154,14 @@
         }
     }
 
+    /// It can't be called off to be sent elsewhere: others' deliveries share its connection, which stays open, and a copy
+    /// elsewhere would be a second one.
+    pub(super) fn stays_out(&self, inv: Inv, delivery: usize) -> bool {
+        let held = self.held[inv].as_ref().filter(|h| !h.closed);
+        let link = held.and_then(|h| h.deliveries[delivery].link).and_then(|id| self.links.get(&id));
+        link.is_some_and(|l| l.carries.iter().any(|c| c.is_some_and(|c| c != (inv, delivery))))
+    }
+
     pub(super) fn give_up(&mut self, inv: Inv, delivery: usize, ending: Ending) {
         let Some(held) = self.held[inv].as_mut() else { return };
         let Some(id) = held.deliveries[delivery].link else { return };
--- a/gateway/src/memory/drain.rs
+++ b/gateway/src/memory/drain.rs
@@ -30,6 +30,8 @@
             return self.leave(now);
         }
         self.effects.push(Effect::Log("told to stop: serving on, then ending connections".into()));
+        // One that was drained by hand serves on, too: for a while clients keep coming.
+        self.leaving = false;
         self.leave_after_a_while(now);
     }
 
--- a/gateway/src/memory/event.rs
+++ b/gateway/src/memory/event.rs
@@ -154,14 +154,6 @@
     Stop,
 }
 
-impl Event {
-    /// A batch in the order in which it is taken in: new work last, for it must not go to a connection whose end is in
-    /// the same batch.
-    pub fn order(batch: &mut [Event]) {
-        batch.sort_by_key(|e| matches!(e, Event::Command(..)));
-    }
-}
-
 #[derive(Debug)]
 pub enum Effect {
     Answer(u64, Answer),
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -37,6 +37,8 @@
     pub(super) names: Ids<String>,
     pub(super) places: Vec<Place>,
     pub(super) clients: HashMap<u64, Client>,
+    /// Clients of whom a command has been read that stands further back in the batch.
+    pub(super) speak: HashSet<u64>,
     pub(super) links: HashMap<u64, Link>,
     pub(super) counters: BTreeMap<u64, CounterLink>,
     pub(super) turns: HashMap<(Customer, u32), VecDeque<Turn>>,
@@ -79,6 +81,7 @@
             names: Ids::default(),
             places: vec![],
             clients: HashMap::new(),
+            speak: HashSet::new(),
             links: HashMap::new(),
             counters: BTreeMap::new(),
             turns: HashMap::new(),
@@ -114,11 +117,23 @@
         new
     }
 
+    /// Takes in what has come together. New work last: it must not go to a connection whose end is in the same batch.
+    pub fn batch(&mut self, now: f64, events: &mut Vec<Event>) {
+        events.sort_by_key(|e| matches!(e, Event::Command(..)));
+        let speak =
+            events.iter().filter_map(|e| if let Event::Command(id, _) = e { Some(*id) } else { None });
+        self.speak = speak.collect();
+        for event in events.drain(..) {
+            self.reduce(now, event);
+        }
+        self.speak.clear();
+    }
+
     /// Takes one event in.
     pub fn reduce(&mut self, now: f64, event: Event) {
         match event {
             Event::Accepted(id) => {
-                if self.leaving && self.stopping && !self.parties.passed {
+                if self.leaving && self.stopping && !self.parties.passed && !self.speak.contains(&id) {
                     return self.close(Conn::Client(id), Why::Stopping);
                 }
                 self.clients.insert(id, Client { used: now, ..Client::default() });
@@ -324,7 +339,9 @@
             self.tell(word);
         }
         for (inv, delivery) in errands.cancels {
-            self.give_up(inv, delivery, Ending::Cancelled);
+            if !self.stays_out(inv, delivery) {
+                self.give_up(inv, delivery, Ending::Cancelled);
+            }
         }
         if errands.ask_for_list && self.list.is_none() {
             self.watch(now);
--- a/gateway/src/memory/room.rs
+++ b/gateway/src/memory/room.rs
@@ -42,7 +42,9 @@
 
     /// The client whose connection can best be spared: it has waited longest since it last said something.
     fn idle_client(&self, spared: impl Fn(&Client) -> bool) -> Option<u64> {
-        let idle = self.clients.iter().filter(|(_, c)| c.owed.is_empty() && spared(c));
+        // One whose command has been read is owed an answer, though the command's turn is yet to come.
+        let idle = self.clients.iter().filter(|(id, c)| c.owed.is_empty() && !self.speak.contains(id));
+        let idle = idle.filter(|(_, c)| spared(c));
         idle.min_by(|a, b| a.1.used.total_cmp(&b.1.used).then(a.0.cmp(b.0))).map(|(id, _)| *id)
     }
 
--- a/gateway/src/sockets/drive.rs
+++ b/gateway/src/sockets/drive.rs
@@ -72,14 +72,13 @@
 
     fn step(&self, reducer: &mut Reducer, events: &mut Vec<Event>, batch: &mut Batch) -> Option<f64> {
         let now = self.clock.now();
-        Event::order(events);
         reducer.stats.written += self.common.written.swap(0, Ordering::Relaxed) as u64;
-        for event in events.drain(..) {
+        for event in events.iter() {
             if let Event::Ended { conn, .. } = event {
-                self.links.remove(conn);
+                self.links.remove(*conn);
             }
-            reducer.reduce(now, event);
         }
+        reducer.batch(now, events);
         let (next, effects) = reducer.settle(now);
         for effect in effects {
             self.carry_out(effect, batch);
--- a/gateway/tests/reducer.rs
+++ b/gateway/tests/reducer.rs
@@ -70,6 +70,10 @@
     })
 }
 
+fn said_by(client: u64, text: &str) -> Event {
+    Event::Command(client, resp::command(text.as_bytes()).expect("framed").expect("whole").0)
+}
+
 impl Bench {
     fn settle(&mut self) -> Option<f64> {
         let (next, effects) = self.reducer.settle(self.now);
@@ -79,7 +83,10 @@
         next
     }
     fn event(&mut self, event: Event) -> &mut Self {
-        self.reducer.reduce(self.now, event);
+        self.batch(vec![event])
+    }
+    fn batch(&mut self, mut events: Vec<Event>) -> &mut Self {
+        self.reducer.batch(self.now, &mut events);
         self.settle();
         self
     }
@@ -112,8 +119,7 @@
         self.says(client, &text)
     }
     fn says(&mut self, client: u64, text: &str) -> &mut Self {
-        let (command, _) = resp::command(text.as_bytes()).expect("framed").expect("whole");
-        self.event(Event::Command(client, command))
+        self.event(said_by(client, text))
     }
     fn up(&mut self, id: u64) -> &mut Self {
         self.event(Event::Up(Conn::Backend(id)))
@@ -896,3 +902,43 @@
         0.600 exit once all is written
     "#]]);
 }
+
+const PING: &str = "*1\r\n$4\r\nPING\r\n";
+
+/// Guards: descriptors ran short in the batch in which a client's command had been read; its connection was spared for
+/// another's and the command, which has its turn after all else, was lost without an answer.
+#[test]
+fn a_client_whose_command_has_been_read_is_not_let_go() {
+    let mut b = bench_with(32 + 5);
+    b.client(1).says(1, PING).client(2).says(2, PING).until(1.0).text.clear();
+    let come = [3, 4, 5].map(Event::Accepted);
+    b.batch(come.into_iter().chain([said_by(1, PING)]).collect());
+    b.is_but_list(expect![[r#"
+        1.000 log: connection client 2 ended: crowded
+        1.000 client 1: +PONG
+    "#]]);
+}
+
+/// Guards: a front door that was drained by hand and then told to stop ended connections that had just come, with commands
+/// on them that had been read.
+#[test]
+fn a_drained_front_door_that_is_told_to_stop_serves_on_for_a_while() {
+    let mut b = bench_of(1024, false, true);
+    b.client(1);
+    call(&mut b, 1, "POST /healthcheck/fail");
+    kept(&mut b, 1, &[], true);
+    b.until(0.7).event(Event::Stop).until(0.9).text.clear();
+    b.batch(vec![Event::Accepted(2), said_by(2, PING)]).until(1.25);
+    // From now on connections end; one on which something was read is answered first.
+    b.batch(vec![Event::Accepted(3), said_by(3, PING)]).event(Event::Accepted(4));
+    b.is_but_list(expect![[r#"
+        0.900 client 2: -ERR draining
+        1.000 log: connection operator 1 ended: called
+        1.200 stop accepting
+        1.200 part with client 1 if it is quiet
+        1.200 part with client 2 if it is quiet
+        1.250 client 3: -ERR draining
+        1.250 part with client 3 if it is quiet
+        1.250 log: connection client 4 ended: stopping
+    "#]]);
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -298,7 +298,7 @@
             }
             (_, Effect::NonIdempotent) => (false, None),
         };
-        let (may_throttle, late) = (may_repeat && bound.is_none(), now - came > objective);
+        let (may_throttle, late) = (ran.is_none() || effect == Effect::Idempotent, now - came > objective);
         let spent = tries >= self.may.most || tries > 0 && (late || ran.is_some() && self.repeats < 1.0);
         if out > 0 {
             // A delivery is doubted when its backend is quiet, or when its answer is long overdue.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -190,6 +190,20 @@
 }
 
 /// Backends that swallow work: a delivery on one that says nothing is doubted.
+/// Guards: a tokened invocation that may have run was throttled, which tells the client that it may try again when it
+/// likes; by then the backends may remember nothing of it.
+#[test]
+fn tokened_that_may_have_run_is_not_throttled() {
+    let mut d = of_effect(Effect::Tokened { group: Group::All, window: 9.0 }, 2);
+    let inv = d.comes_until(30.0, 31.0);
+    d.counter(30.0);
+    d.wait(30.0);
+    d.ends(31.0, inv, 0, Ending::TimedOut, 1.0);
+    d.check(expect![[r#"
+        30.000 0 comes: not yet; count 1: +1.00; 0: to 0
+        31.000 0 TimedOut: error"#]]);
+}
+
 #[test]
 fn a_quiet_backend_is_doubted_and_another_serves() {
     let mut d = idempotent(2);
