--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -143,7 +143,7 @@
     let start = Instant::now();
     let every = (runs / 10).max(1);
     let done = |n: u64| {
-        if n % every == 0 {
+        if n.is_multiple_of(every) {
             eprintln!("{n} of {runs} runs, {:.0} s", start.elapsed().as_secs_f64());
         }
     };
