--- a/gateway/tests/streams.rs
+++ b/gateway/tests/streams.rs
@@ -7,11 +7,9 @@
 use std::time::Duration;
 
 mod help;
-use help::{free, reach, Door};
+use help::{free, reach, toy, Door};
 
 #[allow(dead_code)]
-#[path = "../../examples/toy.rs"]
-mod toy;
 
 const LONG: usize = 4 * 1024 * 1024;
 
