--- a/gateway/tests/streams.rs
+++ b/gateway/tests/streams.rs
@@ -9,8 +9,6 @@
 mod help;
 use help::{free, reach, toy, Door};
 
-#[allow(dead_code)]
-
 const LONG: usize = 4 * 1024 * 1024;
 
 fn byte(i: usize) -> u8 {
