Over an upgrade the process that leaves says what it no longer needs of the descriptors

Need: issue on admission: each process had half by what it knows, however few the old one still held.

Change: the old process promises, in the file between both, a most that it keeps to from then on, less and less; the new one has the rest, half at the least. Promise first, use after: together they never pass the limit.

Not taken: sharing by present use (both could grow between two looks at the file).

--- a/emulator/src/door.rs
+++ b/emulator/src/door.rs
@@ -42,6 +42,7 @@
 /// What a process asks of those outside the network.
 pub enum Outside {
     Keep { call: u64, change: Change },
+    Holds(usize),
     Exit,
 }
 
@@ -120,7 +121,7 @@
 }
 
 /// Descriptors that are no connections.
-const OTHERS: usize = 8;
+pub const OTHERS: usize = 8;
 
 impl Process {
     pub fn boot(
@@ -182,6 +183,11 @@
 
     // ======== what the network brings
 
+    /// How many connections it holds.
+    pub fn held(&self) -> usize {
+        self.conns.len()
+    }
+
     /// A client, or an operator, connects.
     pub fn connects(&mut self, ctx: &mut Ctx, wire: WireId) {
         if !self.alive || !self.accepts {
@@ -390,6 +396,7 @@
                 }
             }
             Effect::Keep(call, change) => outside.push(Outside::Keep { call, change }),
+            Effect::Holds(most) => outside.push(Outside::Holds(most)),
             Effect::Part(id) => {
                 let conn = Conn::Client(id);
                 let quiet = self.conns.get(&conn).is_some_and(|o| o.got.is_empty());
--- a/emulator/src/play.rs
+++ b/emulator/src/play.rs
@@ -4,7 +4,7 @@
 use crate::clients::{Clients, Offer};
 use crate::counter::Counter;
 use crate::discovery::{Discovery, Entry};
-use crate::door::{Outside, Places, Process, Sabotage};
+use crate::door::{Outside, Places, Process, Sabotage, OTHERS};
 use crate::net::{Ctx, Cut, Item, Party};
 use crate::rules::{Breach, Ceiling, ColdRule, Figures, Met, Operation, Rules};
 use crate::script::{Fault, Kind, Script, World};
@@ -66,6 +66,8 @@
     discovery: Discovery,
     clients: Clients,
     breaks: f64,
+    /// What processes that leave will not go beyond, in descriptors.
+    holds: BTreeMap<usize, usize>,
     sabotage: Option<Sabotage>,
     settings: Value,
     effects: HashMap<Vec<u8>, Effect>,
@@ -245,6 +247,7 @@
             names,
             counter: Counter::default(),
             breaks: 0.0,
+            holds: BTreeMap::new(),
             sabotage,
             effects,
             struck: BTreeMap::new(),
@@ -344,6 +347,10 @@
             }
             Item::Step(process) => {
                 let outside = self.processes[process].step(ctx, &self.places);
+                let door = self.processes[process].door;
+                let held = self.doors[door].processes.iter().map(|p| self.processes[*p].held() + OTHERS);
+                let (held, most) = (held.sum(), self.ctx.world.sockets);
+                self.ctx.rules.descriptors(self.ctx.now, door, held, most);
                 for what in outside {
                     self.outside(process, what);
                 }
@@ -405,7 +412,9 @@
         let Door { processes, out, drained, .. } = &self.doors[door];
         let beside = processes.iter().any(|p| Some(*p) != process);
         let newer = beside && processes.last().copied() != process && process.is_some();
-        Shared { out: out.clone(), drained: *drained, beside, newer }
+        let other = processes.iter().find(|p| Some(**p) != process);
+        let holds = other.and_then(|p| self.holds.get(p).copied());
+        Shared { out: out.clone(), drained: *drained, beside, newer, holds }
     }
 
     fn start(&mut self, door: usize) {
@@ -447,6 +456,11 @@
     fn outside(&mut self, process: usize, what: Outside) {
         match what {
             Outside::Exit => self.dies(process, false),
+            Outside::Holds(most) => {
+                let door = self.processes[process].door;
+                self.holds.insert(process, most);
+                self.kept(door, None);
+            }
             Outside::Keep { call, change } => {
                 let door = self.processes[process].door;
                 let Door { out, drained, .. } = &mut self.doors[door];
--- a/emulator/src/results.rs
+++ b/emulator/src/results.rs
@@ -108,6 +108,7 @@
             Rule::Drains => met.drained,
             Rule::Cold => met.cold,
             Rule::Ceilings => met.ceilings,
+            Rule::Descriptors => met.descriptors,
         };
         let broken = reports.iter().filter(|r| r.breach.as_ref().is_some_and(|b| b.rule == rule)).count();
         let _ = writeln!(text, "| {} | {looks} | {broken} |", rule.name());
--- a/emulator/src/rules.rs
+++ b/emulator/src/rules.rs
@@ -24,11 +24,13 @@
     Cold,
     /// No ceiling passed.
     Ceilings,
+    /// No rule of the five, but a limit: a front door's processes together hold no more descriptors than it may.
+    Descriptors,
 }
 
 impl Rule {
-    pub const ALL: [Rule; 5] =
-        [Rule::OneAnswer, Rule::NoEffectTwice, Rule::Drains, Rule::Cold, Rule::Ceilings];
+    pub const ALL: [Rule; 6] =
+        [Rule::OneAnswer, Rule::NoEffectTwice, Rule::Drains, Rule::Cold, Rule::Ceilings, Rule::Descriptors];
     pub fn name(self) -> &'static str {
         match self {
             Rule::OneAnswer => "one answer",
@@ -36,6 +38,7 @@
             Rule::Drains => "drains",
             Rule::Cold => "cold backends",
             Rule::Ceilings => "ceilings",
+            Rule::Descriptors => "descriptors",
         }
     }
 }
@@ -206,6 +209,7 @@
     pub cold: u64,
     pub ceilings: u64,
     pub turned_away: u64,
+    pub descriptors: u64,
 }
 
 pub struct Rules {
@@ -753,6 +757,18 @@
         }
     }
 
+    /// So many descriptors are held by the processes of one front door, and so many may be.
+    pub fn descriptors(&mut self, now: f64, door: usize, held: usize, most: usize) {
+        self.met.descriptors += u64::from(2 * held > most);
+        if held > most {
+            self.broken(
+                Rule::Descriptors,
+                now,
+                format!("door {door} holds {held} descriptors and may hold {most}"),
+            );
+        }
+    }
+
     // ======== processes
 
     /// Two counters answer until then, each as if it were the only one: no front door can know, and together they lease a quota
--- a/emulator/src/sweep.rs
+++ b/emulator/src/sweep.rs
@@ -36,6 +36,7 @@
         all.cold += one.cold;
         all.ceilings += one.ceilings;
         all.turned_away += one.turned_away;
+        all.descriptors += one.descriptors;
     }
 }
 
--- a/gateway/src/life/handover.rs
+++ b/gateway/src/life/handover.rs
@@ -45,6 +45,15 @@
     drained: bool,
     /// The newest process.
     serves: u32,
+    /// The process that leaves, and the descriptors that it will not go beyond.
+    leaves: u32,
+    holds: usize,
+}
+
+/// What the thread is asked to write down.
+enum Ask {
+    Change(u64, Change),
+    Holds(usize),
 }
 
 /// Where the file is, and which process it named when this one started.
@@ -63,7 +72,7 @@
 
 /// The thread that keeps the file.
 pub struct Keeper {
-    to: Sender<(u64, Change)>,
+    to: Sender<Ask>,
     pub place: Place,
 }
 
@@ -77,7 +86,9 @@
         let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '-' };
         let path = folder.join(format!("quillramp-{}.json", name.chars().map(plain).collect::<String>()));
         // Whoever serves beside us hears of us from the file.
-        let ours = |file: &mut Kept| (file.drained, file.serves) = (false, std::process::id());
+        let ours = |file: &mut Kept| {
+            (file.drained, file.serves, file.leaves) = (false, std::process::id(), 0);
+        };
         let (was, now) = update(&path, ours);
         let own = was.serves;
         let file = now.unwrap_or_else(|why| {
@@ -96,7 +107,12 @@
 
     /// Writes a change down; what came of it is told as an event, with the call that asked for it.
     pub fn write(&self, call: u64, change: Change) {
-        let _ = self.to.send((call, change)); // the thread lasts as long as the process
+        let _ = self.to.send(Ask::Change(call, change)); // the thread lasts as long as the process
+    }
+
+    /// Tells the other process that this one will hold no more descriptors than these.
+    pub fn holds(&self, most: usize) {
+        let _ = self.to.send(Ask::Holds(most));
     }
 }
 
@@ -104,15 +120,23 @@
 fn shared(file: &Kept, before: u32) -> Shared {
     let other = if file.serves == std::process::id() { before } else { file.serves };
     let beside = other != 0 && Path::new("/proc").join(other.to_string()).exists();
-    Shared { out: file.out.clone(), drained: file.drained, beside, newer: beside && other != before }
+    let holds = (beside && file.leaves == other).then_some(file.holds);
+    Shared { out: file.out.clone(), drained: file.drained, beside, newer: beside && other != before, holds }
 }
 
-fn keep(place: &Place, asked: &Receiver<(u64, Change)>, inbox: &Inbox, mut known: Shared) {
+fn keep(place: &Place, asked: &Receiver<Ask>, inbox: &Inbox, mut known: Shared) {
     loop {
         let (call, now) = match asked.recv_timeout(LOOK) {
-            Ok((call, change)) => {
+            Ok(Ask::Change(call, change)) => {
                 (Some(call), changed(&place.path, change).map(|file| shared(&file, place.before)))
             }
+            Ok(Ask::Holds(most)) => {
+                let says = |file: &mut Kept| (file.leaves, file.holds) = (std::process::id(), most);
+                if let Err(why) = update(&place.path, says).1 {
+                    log::warn!("the other process is not told how many descriptors are free: {why}");
+                }
+                continue;
+            }
             Err(RecvTimeoutError::Timeout) => (None, place.look()),
             Err(RecvTimeoutError::Disconnected) => return,
         };
--- a/gateway/src/memory/drain.rs
+++ b/gateway/src/memory/drain.rs
@@ -27,7 +27,8 @@
         if self.hands_over {
             self.effects
                 .push(Effect::Log("told to stop: the next process accepts, this one serves out".into()));
-            return self.leave(now);
+            self.leave(now);
+            return self.promise();
         }
         self.effects.push(Effect::Log("told to stop: serving on, then ending connections".into()));
         // One that was drained by hand serves on, too: for a while clients keep coming.
--- a/gateway/src/memory/event.rs
+++ b/gateway/src/memory/event.rs
@@ -107,6 +107,8 @@
     /// Another process of this front door is there too; and it started after this one.
     pub beside: bool,
     pub newer: bool,
+    /// It leaves, and will hold no more descriptors than these.
+    pub holds: Option<usize>,
 }
 
 #[derive(Debug)]
@@ -170,6 +172,8 @@
     Respond(u64, manage::Response),
     /// To be kept for the next version, and told to this one's other process.
     Keep(u64, Change),
+    /// From now on this process holds no more descriptors than these: the other one may have the rest.
+    Holds(usize),
     /// Ends a client's connection unless something has come on it that nobody has read.
     Part(u64),
     /// Nothing more is read from this client.
--- a/gateway/src/memory/operators.rs
+++ b/gateway/src/memory/operators.rs
@@ -156,6 +156,8 @@
         }
         if old.beside != self.shared.beside {
             self.beside(now);
+        } else if old.holds != self.shared.holds {
+            while self.short() && self.make_room(now) {}
         }
     }
 
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -66,6 +66,8 @@
     pub(super) stopping: bool,
     /// Stopping, with another process to take over.
     pub(super) hands_over: bool,
+    /// Then it holds no more descriptors than these.
+    pub(super) promised: Option<usize>,
     /// Connections end between invocations; what is next in that, and which may end after this batch.
     pub(super) leaving: bool,
     pub(super) leaves: Option<Timer>,
@@ -108,6 +110,7 @@
             stats: Stats::default(),
             stopping: false,
             hands_over: false,
+            promised: None,
             leaving: false,
             leaves: None,
             parting: BTreeSet::new(),
--- a/gateway/src/memory/room.rs
+++ b/gateway/src/memory/room.rs
@@ -1,11 +1,13 @@
 //! Descriptors: what closes when they run short, and what has stood idle.
-use super::event::{Conn, Why};
+use super::event::{Conn, Effect, Why};
 use super::kept::*;
 use super::operators::MOST;
 use super::reducer::Reducer;
 
 /// Descriptors kept for listening, the log, the loop and the like.
 const RESERVE: usize = 32;
+/// What a process that leaves keeps beyond what it has, for deliveries of what it holds.
+const SPARE: usize = 8;
 /// The counter closes idle connections after this, at the latest.
 const COUNTER_IDLE: f64 = 10.0;
 /// A client that has said nothing for this long, and is owed nothing, may be let go; it is if it never said
@@ -28,10 +30,35 @@
 
     /// No descriptor is left for one more connection.
     pub(super) fn short(&self) -> bool {
+        self.needed() > self.allowed()
+    }
+
+    /// Descriptors that this process has, or keeps free for what must always be possible.
+    fn needed(&self) -> usize {
         let operators = if self.parties.called { MOST } else { 0 };
-        // What the machine allows, it allows to both processes of a front door together.
-        let sockets = if self.shared.beside { self.parties.sockets / 2 } else { self.parties.sockets };
-        self.descriptors() + RESERVE + operators > sockets
+        self.descriptors() + RESERVE + operators
+    }
+
+    /// What the machine allows, it allows to both processes of a front door together: half each, until the one that leaves says
+    /// what it will not go beyond. It says so before the other one takes the rest, so that together they never pass it.
+    fn allowed(&self) -> usize {
+        let half = self.parties.sockets / 2;
+        match (self.shared.beside, self.promised, self.shared.holds) {
+            (_, Some(promised), _) => promised,
+            (true, None, Some(other)) => self.parties.sockets - other.min(half),
+            (true, None, None) => half,
+            (false, None, _) => self.parties.sockets,
+        }
+    }
+
+    /// The process that leaves needs fewer and fewer, and says so.
+    pub(super) fn promise(&mut self) {
+        let most = self.promised.unwrap_or(self.parties.sockets / 2);
+        let now = (self.needed() + SPARE).min(most);
+        if self.hands_over && (self.promised.is_none() || now + SPARE <= most) {
+            self.promised = Some(now);
+            self.effects.push(Effect::Holds(now));
+        }
     }
 
     pub(super) fn room(&mut self, now: f64) {
@@ -134,6 +161,7 @@
             self.close_counter(id, Why::Idle);
         }
         self.forget_gone();
+        self.promise();
         if let Some(gate) = &mut self.gate {
             gate.count_unknown(now);
         }
--- a/gateway/src/sockets/drive.rs
+++ b/gateway/src/sockets/drive.rs
@@ -124,6 +124,11 @@
                     keeper.write(id, change);
                 }
             }
+            Effect::Holds(most) => {
+                if let Some(keeper) = &self.keeper {
+                    keeper.holds(most);
+                }
+            }
             Effect::Pass(id, to) => {
                 let links = self.links.0.borrow();
                 if let Some(from) = links.get(&Conn::Backend(id)) {
--- a/gateway/tests/reducer.rs
+++ b/gateway/tests/reducer.rs
@@ -63,6 +63,7 @@
         Effect::Close(_) => return None, // its log line tells
         Effect::Log(line) => format!("log: {line}"),
         Effect::Respond(id, r) => format!("operator {id}: {} {}", r.status, r.body.trim_end()),
+        Effect::Holds(most) => format!("will hold {most} descriptors at the most"),
         Effect::TurnAway(id, why) => format!("client {id} is not taken in: {why}"),
         Effect::Keep(_, change) => format!("keep {change:?}"),
         Effect::Part(id) => format!("part with client {id} if it is quiet"),
@@ -560,12 +561,8 @@
 
 /// A change that is kept by now, as the thread that keeps it tells.
 fn kept(b: &mut Bench, id: u64, out: &[&str], drained: bool) {
-    let shared = Shared {
-        out: out.iter().map(|n| (n.to_string(), 1000.0)).collect(),
-        drained,
-        beside: false,
-        newer: false,
-    };
+    let shared =
+        Shared { out: out.iter().map(|n| (n.to_string(), 1000.0)).collect(), drained, ..Shared::default() };
     b.event(Event::Kept { call: Some(id), shared: Ok(shared) });
 }
 
@@ -716,7 +713,7 @@
     let out = [("s-a".to_string(), 1000.0)].into();
     b.event(Event::Kept {
         call: None,
-        shared: Ok(Shared { out, drained: false, beside: true, newer: true }),
+        shared: Ok(Shared { out, drained: false, beside: true, newer: true, holds: None }),
     });
     b.event(Event::Stop).says(2, "*1\r\n$4\r\nPING\r\n").event(Event::Parted(2)).until(3.1);
     b.says(3, "*1\r\n$4\r\nPING\r\n").event(Event::Parted(3)).event(Event::Parted(1));
@@ -726,6 +723,7 @@
         0.050 log: another process of this front door is there
         0.050 log: told to stop: the next process accepts, this one serves out
         0.050 stop accepting
+        0.050 will hold 62 descriptors at the most
         0.050 part with client 2 if it is quiet
         0.050 client 2: +PONG
         0.050 part with client 2 if it is quiet
@@ -948,6 +946,18 @@
     "#]]);
 }
 
+/// Guards: over an upgrade each process had half of the descriptors, however few the one that left still needed.
+#[test]
+fn what_a_leaving_process_will_not_use_the_other_one_has() {
+    let room = |holds| {
+        let mut b = bench_of(200, true, true);
+        b.event(Event::Kept { call: None, shared: Ok(Shared { beside: true, holds, ..Shared::default() }) });
+        (1..200).find(|id| b.client(*id).text.contains("crowded")).expect("room for fewer than that")
+    };
+    let (half, all_but_60, all_but_half) = (room(None), room(Some(60)), room(Some(150)));
+    assert_eq!((all_but_60 - half, all_but_half), (40, half), "{half}");
+}
+
 /// Room for three clients, one of them from the known address.
 fn gated() -> Bench {
     let mut b = bench_of(1024, false, false);
