--- a/emulator/src/play.rs
+++ b/emulator/src/play.rs
@@ -106,7 +106,8 @@
     ("large", 60.0, 80.0, 0, 2.0),
 ];
 
-fn settings(world: &World, sabotage: Option<Sabotage>) -> Value {
+/// The settings that a front door of this world is told.
+pub fn settings(world: &World, sabotage: Option<Sabotage>) -> Value {
     let classes: Vec<Value> = operations()
         .into_iter()
         .map(|(name, effect, aim, give_up, _)| {
--- /dev/null
+++ b/load/src/lib.rs
@@ -0,0 +1,6 @@
+//! Drives front doors over their protocol, among stand-ins of its own on loopback, by experiments that are files; keeps rows,
+//! summaries and charts. Its figures are called by its name.
+pub mod experiment;
+pub mod play;
+pub mod results;
+mod standins;
