One list of fault kinds, and the toy world's parts serve the load tool too

Need: a last look for what stands twice: fault kinds in an enum and two arrays (clap lists the enum's), the list service and HTTP reading of the toy world in the load tool.

--- a/emulator/src/script.rs
+++ b/emulator/src/script.rs
@@ -1,4 +1,5 @@
 //! What a run is made of: a world and the faults that strike it. Read from TOML and checked, or drawn from a seed.
+use clap::ValueEnum;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -115,7 +116,7 @@
     pub by: Option<f64>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, ValueEnum)]
 #[serde(rename_all = "kebab-case")]
 pub enum Kind {
     // ---- backends
@@ -218,59 +219,13 @@
     Nobody,
 }
 
-pub const KINDS: [Kind; 38] = {
-    use Kind::*;
-    [
-        Crash,
-        Vanish,
-        Slow,
-        Swallow,
-        Spoil,
-        Surplus,
-        Err,
-        TurnAway,
-        CloseBehind,
-        BreakOff,
-        Drain,
-        Replace,
-        ZoneLoss,
-        ZoneCut,
-        Kill,
-        Term,
-        Upgrade,
-        Stall,
-        Ban,
-        DrainDoor,
-        Reload,
-        Choke,
-        CounterDown,
-        CounterSilent,
-        CounterSlow,
-        CounterLost,
-        CounterSplit,
-        CounterSpoilt,
-        CounterDeaf,
-        CounterTurnsAway,
-        ListLate,
-        ListDown,
-        ListGarbled,
-        ListStale,
-        ListShrunk,
-        Resets,
-        PeersLost,
-        Delay,
-    ]
-};
-const OF_CLIENTS: [Kind; 4] = [Kind::Burst, Kind::Leave, Kind::Rude, Kind::Herd];
-
 impl Kind {
     pub fn all() -> impl Iterator<Item = Kind> {
-        KINDS.into_iter().chain(OF_CLIENTS)
+        Kind::value_variants().iter().copied()
     }
 
     pub fn name(self) -> String {
-        let text = toml::Value::try_from(self).ok();
-        text.and_then(|t| t.as_str().map(str::to_owned)).unwrap_or_default()
+        self.to_possible_value().map_or(String::new(), |v| v.get_name().to_owned())
     }
 
     pub fn whom(self) -> Whom {
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Runs `serve` on a thread of its own for each connection.
-fn each(listener: TcpListener, serve: impl Fn(TcpStream) -> Result<()> + Clone + Send + 'static) {
+pub fn each(listener: TcpListener, serve: impl Fn(TcpStream) -> Result<()> + Clone + Send + 'static) {
     spawn(move || {
         for stream in listener.incoming().flatten() {
             let serve = serve.clone();
@@ -75,7 +75,7 @@
 }
 
 /// Reads the head of an HTTP request without a body: its target; none at the end.
-fn target(from: &mut impl BufRead) -> Result<Option<String>> {
+pub fn target(from: &mut impl BufRead) -> Result<Option<String>> {
     let mut first = String::new();
     if from.read_line(&mut first)? == 0 {
         return Ok(None);
@@ -87,7 +87,7 @@
     Ok(first.split(' ').nth(1).map(str::to_owned))
 }
 
-fn number(target: &str, name: &str) -> f64 {
+pub fn number(target: &str, name: &str) -> f64 {
     let query = target.split_once('?').map_or("", |(_, q)| q);
     let value = query.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('='));
     value.and_then(|v| v.parse().ok()).unwrap_or(0.0)
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -4,3 +4,8 @@
 pub mod play;
 pub mod results;
 mod standins;
+
+/// The toy world's parts serve here too.
+#[allow(dead_code)]
+#[path = "../../examples/toy.rs"]
+mod toy;
--- a/load/src/play.rs
+++ b/load/src/play.rs
@@ -1,6 +1,7 @@
 //! One play of one variant: stand-ins and front doors start, clients ask at their times, and what came of each invocation is a row.
 use crate::experiment::{Arrival, Experiment, Variant};
 use crate::standins::{self, Ran};
+use crate::toy;
 use quillramp_emulator::play::settings;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -100,7 +101,7 @@
     }
     let listing = json!({"index": 1, "snapshot": true, "endpoints": entries});
     standins::counter(counter, calls.clone());
-    standins::list(list, listing.to_string());
+    toy::list(list, listing.to_string());
     let (mut doors, at) = start(experiment, variant, folder, (counter_at, list_at), &listing)?;
     let rows = drive(experiment, (variant, repetition), &at)?;
     let died = doors.0.iter_mut().filter_map(|d| d.try_wait().ok().flatten()).count();
--- a/load/src/standins.rs
+++ b/load/src/standins.rs
@@ -1,9 +1,10 @@
 //! Stand-ins on loopback: backends with so many slots and so much work, a list service and a counter. They keep count of what ran.
+use crate::toy::{command, each, number, target};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Result, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
-use std::thread::{sleep, spawn};
+use std::thread::sleep;
 use std::time::Duration;
 
 /// What ran at all backends together: by invocation's id how often, where that may not be more than once; and by backend.
@@ -18,35 +19,6 @@
     lock.lock().unwrap_or_else(|e| e.into_inner())
 }
 
-/// Runs `serve` on a thread of its own for each connection.
-fn each(listener: TcpListener, serve: impl Fn(TcpStream) -> Result<()> + Clone + Send + 'static) {
-    spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let serve = serve.clone();
-            let _ = stream.set_nodelay(true);
-            spawn(move || serve(stream)); // it ends with its connection
-        }
-    });
-}
-
-/// Reads one RESP2 array of bulk strings; none at the end.
-fn command(from: &mut impl BufRead) -> Result<Option<Vec<String>>> {
-    let mut line = String::new();
-    if from.read_line(&mut line)? == 0 {
-        return Ok(None);
-    }
-    let number = |line: &str| line.get(1..).and_then(|n| n.trim().parse::<usize>().ok()).unwrap_or(0);
-    let mut words = Vec::new();
-    for _ in 0..number(&line) {
-        line.clear();
-        from.read_line(&mut line)?;
-        let mut word = vec![0; number(&line) + 2];
-        from.read_exact(&mut word)?;
-        words.push(String::from_utf8_lossy(&word[..word.len() - 2]).into_owned());
-    }
-    Ok(Some(words))
-}
-
 /// One backend: so many slots, and seconds of work for a unit.
 pub fn backend(listener: TcpListener, index: usize, (slots, service): (usize, f64), ran: Arc<Mutex<Ran>>) {
     let free = Arc::new((Mutex::new(slots), Condvar::new()));
@@ -87,27 +59,7 @@
     });
 }
 
-/// The target of one HTTP/1.1 request; none at the end.
-fn target(from: &mut impl BufRead) -> Result<Option<String>> {
-    let (mut line, mut first) = (String::new(), None);
-    loop {
-        line.clear();
-        if from.read_line(&mut line)? == 0 {
-            return Ok(None);
-        }
-        if line.trim().is_empty() {
-            return Ok(first);
-        }
-        first = first.or_else(|| line.split(' ').nth(1).map(str::to_owned));
-    }
-}
-
-fn number(target: &str, name: &str) -> f64 {
-    let query = target.split_once('?').map_or("", |(_, q)| q);
-    let value = query.split('&').find_map(|p| p.split_once('=').filter(|(n, _)| *n == name));
-    value.and_then(|(_, v)| v.parse().ok()).unwrap_or(0.0)
-}
-
+/// Counts by name, and how often it was called.
 pub fn counter(listener: TcpListener, calls: Arc<Mutex<u64>>) {
     let counts: Arc<Mutex<HashMap<String, f64>>> = Arc::default();
     each(listener, move |stream| {
@@ -127,23 +79,6 @@
     });
 }
 
-/// It knows one list; a watch for more waits in vain.
-pub fn list(listener: TcpListener, listing: String) {
-    each(listener, move |stream| {
-        let (mut from, mut to) = (BufReader::new(stream.try_clone()?), stream);
-        while let Some(target) = target(&mut from)? {
-            let known = number(&target, "since") >= 1.0;
-            if known {
-                sleep(Duration::from_millis(number(&target, "timeout_ms") as u64));
-            }
-            let nothing = r#"{"index":1,"snapshot":false,"endpoints":[]}"#;
-            let body = if known { nothing } else { &listing };
-            write!(to, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
-        }
-        Ok(())
-    });
-}
-
 /// A listener at any free port, and where it is.
 pub fn free() -> std::result::Result<(TcpListener, SocketAddr), String> {
     let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| format!("a port: {e}"))?;
