--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -14,6 +14,7 @@
     spawn(move || {
         for stream in listener.incoming().flatten() {
             let serve = serve.clone();
+            let _ = stream.set_nodelay(true); // replies in several writes would wait for each other
             spawn(move || serve(stream)); // it ends with its connection
         }
     });
