--- a/emulator/tests/emulator.rs
+++ b/emulator/tests/emulator.rs
@@ -55,7 +55,7 @@
 
 #[test]
 fn a_front_door_that_hears_no_drain_is_found() {
-    let script = &scripts("scripts").into_iter().find(|s| s.0.starts_with("drain-")).expect("there").1;
+    let script = &scripts("scripts").into_iter().find(|s| s.0.starts_with("drain-during")).expect("there").1;
     let found = play(script, Some(Sabotage::IgnoresDrains)).breach.expect("found");
     assert_eq!(found.rule, Rule::Drains, "{}", found.says);
     holds("the same, whole", &play(script, None));
