Admission hears that a command has begun: a slow client is not a silent one

Cause: found on reading the change again: Gate::begins was never called, so a client at its first command longer than first_word (2 s) was let go as one that says nothing; a slow client may take 2.5 s. room.rs half() tells the gate now. Only where admission is switched on, which it is not on the platform.

Measured: a test of the reducer that fails without it; all of its tests pass.

--- a/gateway/src/memory/room.rs
+++ b/gateway/src/memory/room.rs
@@ -109,6 +109,7 @@
     pub(super) fn half(&mut self, now: f64, id: u64) {
         if let Some(client) = self.clients.get_mut(&id).filter(|c| c.half.is_none()) {
             client.half = Some(now);
+            self.gate.iter_mut().for_each(|gate| gate.begins(now, id));
             self.at(now + HALF, Due::Half(id));
         }
     }
--- a/gateway/tests/reducer.rs
+++ b/gateway/tests/reducer.rs
@@ -986,6 +986,20 @@
     "#]]);
 }
 
+/// Guards: the gate was not told that a command had begun, and a slow client was let go as a silent one.
+#[test]
+fn a_client_at_its_first_command_is_not_silent() {
+    let mut b = gated();
+    b.client(1).client(2).event(Event::Partial(Conn::Client(1))).until(1.6);
+    b.is_but_list(expect![[r#"
+        1.000 log: connection client 2 ended: idle
+    "#]]);
+    b.says(1, PING);
+    b.is_but_list(expect![[r#"
+        1.600 client 1: +PONG
+    "#]]);
+}
+
 /// Guards: one hospital's commands took all that its gateway's address may have unfinished.
 #[test]
 fn commands_past_an_addresss_part_may_come_again_soon() {
