Emulator: what nothing calls any more is gone

Need: found on reading the change again: three methods of the agenda, a count of open invocations, a count of answers and an argument that nobody used.

--- a/emulator/src/agenda.rs
+++ b/emulator/src/agenda.rs
@@ -22,16 +22,4 @@
     pub fn next(&mut self) -> Option<(f64, T)> {
         self.items.pop_first().map(|((at, _), item)| (f64::from_bits(at), item))
     }
-
-    pub fn next_at(&self) -> Option<f64> {
-        self.items.first_key_value().map(|((at, _), _)| f64::from_bits(*at))
-    }
-
-    pub fn len(&self) -> usize {
-        self.items.len()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.items.is_empty()
-    }
 }
--- a/emulator/src/clients.rs
+++ b/emulator/src/clients.rs
@@ -49,7 +49,6 @@
     pub burst: f64,
     pub leave: f64,
     pub rude: f64,
-    pub answered: u64,
 }
 
 const RUDE: [&[u8]; 9] = [
@@ -194,7 +193,6 @@
             let Some((said, n)) = rules::answer(&link.got) else { return };
             let text: Vec<u8> = link.got.drain(..n).take(64).collect();
             let Some(which) = link.owed.pop_front() else { continue };
-            self.answered += 1;
             let asked = &mut self.asked[which];
             if said == Said::Busy && asked.tries < 2 && ctx.rng.gen_bool(0.5) {
                 asked.tries += 1;
--- a/emulator/src/rules.rs
+++ b/emulator/src/rules.rs
@@ -405,7 +405,7 @@
             let Some((answer, n)) = answer(&client.out) else { return };
             let out: Vec<u8> = client.out.drain(..n).collect();
             client.front = now;
-            let Some((owed, came)) = client.owed.pop_front() else {
+            let Some((owed, _)) = client.owed.pop_front() else {
                 if client.broken && answer == Said::Error {
                     continue; // what could not be understood
                 }
@@ -413,13 +413,13 @@
                 return self.broken(Rule::OneAnswer, now, says);
             };
             if let Owed::Invocation(id) = owed {
-                self.final_answer(now, id, came, answer, &out);
+                self.final_answer(now, id, answer, &out);
             }
             self.look_at(wire);
         }
     }
 
-    fn final_answer(&mut self, now: f64, id: u64, _came: f64, answer: Said, out: &[u8]) {
+    fn final_answer(&mut self, now: f64, id: u64, answer: Said, out: &[u8]) {
         let Some(inv) = self.invocations.get_mut(&id) else { return };
         inv.story.push((now, Happened::Answered(answer)));
         if inv.answered.replace(now).is_some() {
@@ -804,13 +804,6 @@
         let still = &mut self.processes.entry(process).or_default().still;
         *still = still.max(until);
     }
-
-    /// Invocations that nobody has answered and that are somebody's duty.
-    pub fn unanswered(&self) -> usize {
-        let owed = |p: usize| self.processes.get(&p).is_some_and(|p| !p.over);
-        let waits = self.clients.values().filter(|c| owed(c.process) && !c.rude).map(|c| c.owed.len());
-        waits.sum()
-    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
