--- a/admission/src/lib.rs
+++ b/admission/src/lib.rs
@@ -160,6 +160,26 @@
 
     // ======== facts
 
+    /// A connection that was open before there was a gate, what it has said, and who is owed an answer on it. It is held, whatever the
+    /// limits say.
+    pub fn already(&mut self, now: f64, conn: Conn, from: IpAddr, (said, owed): (bool, Vec<Caller>)) {
+        self.now = now;
+        let named = self.limits.known.iter().any(|n| n.holds(from));
+        let burst = self.limits.burst;
+        let new = || Address { tokens: burst, filled: now, named, ..Address::default() };
+        let address = self.addresses.entry(from).or_insert_with(new);
+        address.conns.insert(conn);
+        address.unfinished += owed.len();
+        owed.iter().for_each(|caller| *address.asking.entry(*caller).or_default() += 1);
+        let caller = owed.last().copied();
+        match caller {
+            None => address.strangers += 1,
+            Some(caller) => *address.holding.entry(caller).or_default() += 1,
+        }
+        self.unknown += usize::from(!address.known(now));
+        self.held.insert(conn, Held { from, caller, said, owed, read: 0, half: None, used: now });
+    }
+
     /// Other limits from now on. What is open above them stays; it is not added to, and goes first when room runs short.
     pub fn limits(&mut self, now: f64, limits: Limits) {
         for (from, address) in &mut self.addresses {
--- /dev/null
+++ b/counter/tests/agreement.rs
@@ -0,0 +1,269 @@
+//! The replication, checked over all orders of what can happen in a small world: elections, lost and late messages, crashes.
+use quillramp_counter::log::Vow;
+use quillramp_counter::member::{Flaw, Id, Member, Message, Out};
+use stateright::{Checker, Model, Property};
+use std::collections::{BTreeMap, BTreeSet};
+
+type Command = u8;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    members: Vec<Member<Command>>,
+    /// Messages on their way: each may come at any time, or never.
+    net: BTreeSet<(Id, Id, Message<Command>)>,
+    proposed: u8,
+    crashes: u8,
+    /// What was ever agreed on, by index; and who led in which term.
+    agreed: BTreeMap<u64, (u64, Option<Command>)>,
+    led: BTreeMap<u64, Id>,
+    broken: Option<&'static str>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Act {
+    Time(usize),
+    Beat(usize),
+    Propose(usize),
+    Crash(usize),
+    Comes(Id, Id, Message<Command>),
+    Lost(Id, Id, Message<Command>),
+}
+
+struct Small {
+    members: usize,
+    terms: u64,
+    entries: u64,
+    commands: u8,
+    crashes: u8,
+    flaw: Flaw,
+}
+
+impl World {
+    /// What a step of a member brings.
+    fn takes(&mut self, i: usize, out: Out<Command>) {
+        let id = self.members[i].id;
+        for (to, message) in out.send {
+            self.net.insert((id, to, message));
+        }
+        for to in out.install {
+            let (term, upto) = (self.members[i].vow.term, self.members[i].base);
+            self.net.insert((id, to, Message::Install { term, upto, state: vec![] }));
+        }
+        if let Some(upto) = out.committed {
+            for index in 1..=upto {
+                let Some(entry) = self.members[i].entry(index) else { continue };
+                let is = (entry.term, entry.command);
+                match self.agreed.get(&index) {
+                    Some(was) if *was != is => self.broken = Some("agreed on twice"),
+                    Some(_) => {}
+                    None => drop(self.agreed.insert(index, is)),
+                }
+            }
+        }
+        if self.members[i].leads() {
+            let term = self.members[i].vow.term;
+            if *self.led.entry(term).or_insert(id) != id {
+                self.broken = Some("two leaders of one term");
+            }
+            // A leader has all that was ever agreed on before its term.
+            let lacks = |(index, (of, command)): (&u64, &(u64, Option<Command>))| {
+                let own = self.members[i].entry(*index);
+                let kept = *index > self.members[i].base.0; // else a state stands for it
+                kept && *of < term && own.is_none_or(|e| (e.term, e.command) != (*of, *command))
+            };
+            if self.agreed.iter().any(lacks) {
+                self.broken = Some("a leader without what was agreed on");
+            }
+        }
+    }
+}
+
+impl Model for Small {
+    type State = World;
+    type Action = Act;
+
+    fn init_states(&self) -> Vec<World> {
+        let ids: Vec<Id> = (1..=self.members as u64).collect();
+        let member = |id: &Id| {
+            let mut m = Member::new(*id, &ids, Vow::default(), (0, 0), vec![]);
+            m.flaw = self.flaw;
+            m
+        };
+        vec![World {
+            members: ids.iter().map(member).collect(),
+            net: BTreeSet::new(),
+            proposed: 0,
+            crashes: 0,
+            agreed: BTreeMap::new(),
+            led: BTreeMap::new(),
+            broken: None,
+        }]
+    }
+
+    fn actions(&self, w: &World, acts: &mut Vec<Act>) {
+        if w.broken.is_some() {
+            return;
+        }
+        for (i, m) in w.members.iter().enumerate() {
+            if !m.leads() && m.vow.term < self.terms {
+                acts.push(Act::Time(i));
+            }
+            if m.leads() {
+                acts.push(Act::Beat(i));
+                if w.proposed < self.commands && m.last().0 < self.entries {
+                    acts.push(Act::Propose(i));
+                }
+            }
+            if w.crashes < self.crashes {
+                acts.push(Act::Crash(i));
+            }
+        }
+        for (from, to, message) in &w.net {
+            acts.push(Act::Comes(*from, *to, message.clone()));
+            acts.push(Act::Lost(*from, *to, message.clone()));
+        }
+    }
+
+    fn next_state(&self, w: &World, act: Act) -> Option<World> {
+        let mut w = w.clone();
+        let mut out = Out::default();
+        let i = match act {
+            Act::Time(i) => {
+                w.members[i].times_out(&mut out);
+                i
+            }
+            Act::Beat(i) => {
+                w.members[i].beats(&mut out);
+                i
+            }
+            Act::Propose(i) => {
+                w.proposed += 1;
+                w.members[i].proposes(w.proposed, &mut out)?;
+                w.members[i].spreads(&mut out);
+                i
+            }
+            Act::Crash(i) => {
+                w.crashes += 1;
+                w.members[i].restarts();
+                i
+            }
+            Act::Comes(from, to, message) => {
+                w.net.remove(&(from, to, message.clone()));
+                let i = to as usize - 1;
+                w.members[i].hears(from, message, &mut out);
+                i
+            }
+            Act::Lost(from, to, message) => {
+                w.net.remove(&(from, to, message));
+                return Some(w);
+            }
+        };
+        w.takes(i, out);
+        Some(w)
+    }
+
+    fn properties(&self) -> Vec<Property<Small>> {
+        vec![
+            Property::always("one leader a term, one history", |_, w: &World| w.broken.is_none()),
+            Property::always("logs that agree at an index agree before it", |_, w: &World| {
+                let pairs = w.members.iter().flat_map(|a| w.members.iter().map(move |b| (a, b)));
+                pairs.into_iter().all(|(a, b)| {
+                    let shared = (1..=a.last().0.min(b.last().0)).rev();
+                    let same = |i: &u64| a.entry(*i).map(|e| e.term) == b.entry(*i).map(|e| e.term);
+                    let mut agreeing = shared.skip_while(|i| !same(i));
+                    agreeing.all(|i| a.entry(i) == b.entry(i))
+                })
+            }),
+            Property::sometimes("a command is agreed on", |_, w: &World| {
+                w.agreed.values().any(|a| a.1.is_some())
+            }),
+            Property::sometimes("two terms have led", |_, w: &World| w.led.len() > 1),
+        ]
+    }
+
+    fn within_boundary(&self, w: &World) -> bool {
+        w.net.len() <= 4 && w.members.iter().all(|m| m.vow.term <= self.terms && m.last().0 <= self.entries)
+    }
+}
+
+fn checked(small: Small, most: usize) -> (usize, bool, Vec<&'static str>) {
+    let checker = small.checker().threads(6).target_state_count(most).spawn_bfs().join();
+    let found =
+        checker.discoveries().into_keys().filter(|n| !n.contains("is agreed on") && !n.contains("two terms"));
+    (checker.unique_state_count(), checker.is_done(), found.collect())
+}
+
+const SMALL: Small = Small { members: 3, terms: 2, entries: 3, commands: 1, crashes: 0, flaw: Flaw::None };
+
+#[test]
+fn every_order_of_a_small_world_holds() {
+    let (states, _, broken) = checked(SMALL, 150_000);
+    assert_eq!(broken, Vec::<&str>::new());
+    assert!(states > 50_000, "{states}");
+    let (states, _, broken) = checked(Small { crashes: 1, terms: 3, ..SMALL }, 150_000);
+    assert_eq!(broken, Vec::<&str>::new());
+    assert!(states > 50_000, "{states}");
+}
+
+#[test]
+fn two_members_and_one_hold() {
+    for members in [1, 2] {
+        let (states, done, broken) = checked(Small { members, crashes: 1, ..SMALL }, 400_000);
+        assert_eq!((done, broken), (true, vec![]), "{members}: {states}");
+    }
+}
+
+/// Each flaw is found: the check is no ornament.
+#[test]
+fn what_is_broken_is_found() {
+    let blind = Small { flaw: Flaw::VotesBlindly, commands: 0, ..SMALL };
+    let (_, _, broken) = checked(blind, 400_000);
+    assert!(!broken.is_empty(), "blind votes");
+    let forgets = Small { flaw: Flaw::ForgetsVote, crashes: 1, terms: 1, entries: 1, commands: 0, ..SMALL };
+    let (_, _, broken) = checked(forgets, 400_000);
+    assert!(!broken.is_empty(), "a forgotten vote");
+}
+
+/// A walk by chance through larger worlds: more terms, more commands, crashes, and messages out of order.
+#[test]
+fn long_walks_hold() {
+    use rand::{Rng, SeedableRng};
+    let walk = |flaw: Flaw, seed: u64| {
+        let small = Small { members: 3, terms: 40, entries: 60, commands: 40, crashes: 20, flaw };
+        let mut r = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+        let mut w = small.init_states().remove(0);
+        for _ in 0..1500 {
+            let mut acts = vec![];
+            small.actions(&w, &mut acts);
+            // Time and crashes are rare; what is lost is less than what comes.
+            acts.retain(|a| match a {
+                Act::Time(_) => r.gen_bool(0.05),
+                Act::Crash(_) => r.gen_bool(0.01),
+                Act::Lost(..) => r.gen_bool(0.2),
+                _ => true,
+            });
+            if acts.is_empty() {
+                continue;
+            }
+            let act = acts.swap_remove(r.gen_range(0..acts.len()));
+            w = small.next_state(&w, act).unwrap_or(w);
+            // Now and then a member keeps its state whole, and needs no entries before it.
+            if r.gen_bool(0.02) {
+                let i = r.gen_range(0..3);
+                let commit = w.members[i].commit;
+                w.members[i].compacts(commit);
+            }
+        }
+        (w.broken, w.agreed.len())
+    };
+    let mut agreed = 0;
+    for seed in 0..40 {
+        let (broken, n) = walk(Flaw::None, seed);
+        assert_eq!(broken, None, "seed {seed}");
+        agreed += n;
+    }
+    assert!(agreed > 400, "{agreed}");
+    for flaw in [Flaw::AgreesAlone, Flaw::VotesBlindly] {
+        assert!((0..200).any(|seed| walk(flaw, seed).0.is_some()), "{flaw:?}");
+    }
+}
--- a/drill/src/host.rs
+++ b/drill/src/host.rs
@@ -185,7 +185,7 @@
         let customer = self.customers.index(&r.u64(17));
         let until = now + r.seconds(9);
         let of = Doors { first: r.f32(5) as usize, number: r.f32(29) as usize };
-        let ask = Ask { operation, plan, customer, units, of, until };
+        let ask = Ask { operation, plan, customer, units, of, until, ..Ask::default() };
         let id = r.u32(1);
         let inv = self.held.put(Held { id, ask, out: 0, sent: 0, closed: false });
         self.by_id.insert(id, inv);
--- a/emulator/src/door.rs
+++ b/emulator/src/door.rs
@@ -3,8 +3,7 @@
 use crate::net::{Ctx, Item, Party, WireId};
 use quillramp::facts;
 use quillramp::types::Effect as Repeats;
-use quillramp_admission::Limits;
-use quillramp_gateway::memory::event::{Change, Conn, Effect, Event, Shared, Why};
+use quillramp_gateway::memory::event::{Change, Conn, Declares, Effect, Event, Shared, Why};
 use quillramp_gateway::memory::intake::{Hears, Intake};
 use quillramp_gateway::memory::reducer::{Parties, Reducer};
 use quillramp_gateway::wire::listing::Listing;
@@ -128,14 +127,14 @@
         ctx: &mut Ctx,
         (index, door, own): (usize, usize, SocketAddr),
         (start, effects): (facts::Start, HashMap<Vec<u8>, Repeats>),
-        (parties, known, shared, limits): (Parties, &Listing, Shared, Option<Limits>),
+        (parties, known, shared, declares): (Parties, &Listing, Shared, Declares),
         broken: Option<Sabotage>,
     ) -> Process {
         let known = doctored(known, broken);
         let sockets = parties.sockets;
         let mut reducer = Reducer::new(ctx.now, start, parties, &known);
         reducer.share_is(ctx.now, shared);
-        reducer.admits(ctx.now, limits);
+        reducer.declares(ctx.now, declares);
         ctx.rules.booted(index);
         ctx.rules.told(ctx.now, index, &known);
         let process = Process {
@@ -448,10 +447,8 @@
                     }
                 }
             }
-            Effect::Log(line) => {
-                let says = format!("door {} [{}]: {line}", self.door, self.index);
-                ctx.trace.line(ctx.now, &says);
-            }
+            Effect::Log(line) => self.says(ctx, &line),
+            Effect::LogEnd(end) => self.says(ctx, &end.to_string()),
             Effect::StopAccepting => self.accepts = false,
             Effect::Exit => {
                 self.exits = true;
@@ -461,6 +458,11 @@
         }
     }
 
+    fn says(&self, ctx: &mut Ctx, line: &str) {
+        let says = format!("door {} [{}]: {line}", self.door, self.index);
+        ctx.trace.line(ctx.now, &says);
+    }
+
     fn answer(&mut self, ctx: &mut Ctx, conn: Conn, answer: Answer) {
         let (swallows, twice) = (
             self.broken == Some(Sabotage::SwallowsAnswers) && ctx.chance(0.02),
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -1,7 +1,9 @@
 //! quillramp-emulator: plays runs, replays and shrinks those that break a rule, and sweeps over seeds.
 use clap::{Parser, Subcommand};
 use quillramp_emulator::door::Sabotage;
+use quillramp_emulator::growth::{self, Grown};
 use quillramp_emulator::play::{play, Report};
+use quillramp_emulator::quotas::{self, Found, Ill};
 use quillramp_emulator::script::{Kind, Script, Whom};
 use quillramp_emulator::{results, shrink, sweep};
 use std::io::Write;
@@ -75,6 +77,37 @@
         #[arg(long = "break", value_enum)]
         sabotage: Option<Sabotage>,
     },
+    /// Play one traffic behind more and more front doors, calm and with half of them killed at once.
+    Grow {
+        /// How many front doors, one size after another.
+        #[arg(long, value_delimiter = ',', default_values_t = [8, 48, 300, 2000], value_parser = clap::value_parser!(u16).range(2..=4096))]
+        doors: Vec<u16>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = threads())]
+        threads: usize,
+        /// A file for the table.
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+    /// Play a counter that is ill for minutes, with the roster and without, and set overshoot against its bound.
+    Quotas {
+        #[arg(long, value_enum, value_delimiter = ',', default_values_t = [Ill::None, Ill::Split, Ill::Down, Ill::Silent, Ill::Lost, Ill::Deaf, Ill::Mixed])]
+        ill: Vec<Ill>,
+        /// Seconds of each run.
+        #[arg(long, default_value_t = 60.0)]
+        seconds: f64,
+        #[arg(long, default_value_t = 0)]
+        from: u64,
+        /// How many seeds of each.
+        #[arg(long, default_value_t = 20)]
+        runs: u64,
+        #[arg(long, default_value_t = threads())]
+        threads: usize,
+        /// A file for the table.
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
     /// Check scripts without playing them.
     Check { scripts: Vec<PathBuf> },
     /// The kinds of faults that a script may name.
@@ -177,6 +210,21 @@
     Ok(told(&small.report, 0))
 }
 
+fn grown(sizes: &[usize], seed: u64, threads: usize, out: Option<&Path>) -> Result<ExitCode, String> {
+    let done = |g: &Grown| {
+        let how = if g.herd { "half killed at once" } else { "calm" };
+        eprintln!("{} front doors, {how}: {:.1} s", g.doors, g.took);
+    };
+    let all = growth::grow(sizes, seed, threads, &done);
+    let table = growth::table(&all);
+    if let Some(path) = out {
+        std::fs::write(path, &table).map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    say(&table);
+    let broken = all.iter().find(|g| g.report.breach.is_some());
+    Ok(broken.map_or(ExitCode::SUCCESS, |g| told(&g.report, 0)))
+}
+
 fn kinds() {
     say("| kind | needs | by |\n| --- | --- | --- |");
     for kind in Kind::all() {
@@ -223,6 +271,23 @@
             }
             Err(wrong.join("\n"))
         }
+        What::Grow { doors, seed, threads, out } => {
+            let sizes: Vec<usize> = doors.into_iter().map(usize::from).collect();
+            grown(&sizes, seed, threads, out.as_deref())
+        }
+        What::Quotas { ill, seconds, from, runs, threads, out } => {
+            if !(10.0..=600.0).contains(&seconds) {
+                return Err(format!("--seconds: expected 10 to 600, found {seconds}"));
+            }
+            let found = quotas::sweep(&ill, seconds, from..from.saturating_add(runs), threads);
+            let table = quotas::table(&found);
+            if let Some(path) = out {
+                std::fs::write(&path, &table).map_err(|e| format!("{}: {e}", path.display()))?;
+            }
+            say(&table);
+            let bad = |f: &&Found| f.report.breach.is_some() || f.presence > 0.0 && f.overshoot > f.bound;
+            Ok(found.iter().find(bad).map_or(ExitCode::SUCCESS, |f| told(&f.report, 0)))
+        }
         What::Kinds => {
             kinds();
             Ok(ExitCode::SUCCESS)
--- a/emulator/src/net.rs
+++ b/emulator/src/net.rs
@@ -124,6 +124,8 @@
     pub world: World,
     pub wires: BTreeMap<WireId, Wire>,
     wired: WireId,
+    /// Connections to backends that front doors asked for.
+    pub connections: u64,
     pub cuts: Vec<Cut>,
     /// Times the usual delay.
     pub slowness: f64,
@@ -144,6 +146,7 @@
             world,
             wires: BTreeMap::new(),
             wired: 0,
+            connections: 0,
             cuts: vec![],
             slowness: 1.0,
             peers_lost: 0.0,
@@ -174,6 +177,7 @@
 
     pub fn open(&mut self, process: usize, conn: Conn, party: Party) -> WireId {
         self.wired += 1;
+        self.connections += u64::from(matches!(party, Party::Backend(_)));
         let wire = Wire {
             process,
             conn,
--- a/emulator/src/play.rs
+++ b/emulator/src/play.rs
@@ -3,16 +3,20 @@
 use crate::clients::KNOWN;
 use crate::clients::{Clients, Offer};
 use crate::counter::Counter;
+use crate::declared;
 use crate::discovery::{Discovery, Entry};
 use crate::door::{Outside, Places, Process, Sabotage, OTHERS};
 use crate::net::{Ctx, Cut, Item, Party};
+use crate::quota::Store;
 use crate::rules::{Breach, Ceiling, ColdRule, Figures, Met, Operation, Rules};
 use crate::script::{Fault, Kind, Script, World};
 use quillramp::facts;
 use quillramp::types::{Effect, Group};
 use quillramp_admission::Limits;
-use quillramp_gateway::memory::event::{Conn, Event, Shared};
+use quillramp_gateway::life::operator;
+use quillramp_gateway::memory::event::{Conn, Declares, Event, Shared};
 use quillramp_gateway::memory::reducer::Parties;
+use quillramp_operator::routes::Platform;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{json, Value};
@@ -37,6 +41,14 @@
     pub digest: u64,
     pub met: Met,
     pub counter_calls: u64,
+    /// Connections that were asked for to backends.
+    pub connections: u64,
+    /// Units of customers with a quota, what of them lay beyond it, and the worst customer's share above what it allowed.
+    pub units: f64,
+    pub beyond: f64,
+    pub worst: f64,
+    /// Of each customer with a quota.
+    pub stores: Vec<Store>,
     /// How many faults of each kind struck.
     pub faults: BTreeMap<Kind, u64>,
     pub breach: Option<Breach>,
@@ -44,6 +56,18 @@
     pub trace: Vec<String>,
 }
 
+impl Report {
+    /// The customer that had most beyond its quota, as a share of what that allowed in all; and what `bound` says of it.
+    pub fn worst_of(&self, bound: impl Fn(f64, f64) -> f64) -> (f64, f64) {
+        let of = |s: &Store| {
+            let (rate, burst, span) = s.quota();
+            (s.beyond / (burst + rate * span), bound(rate, burst))
+        };
+        let all = self.stores.iter().map(of);
+        all.max_by(|a, b| (a.0 - a.1).total_cmp(&(b.0 - b.1))).unwrap_or((0.0, 0.0))
+    }
+}
+
 /// A front door, whichever process it is.
 struct Door {
     /// Its processes that live, the newest last.
@@ -70,12 +94,14 @@
     holds: BTreeMap<usize, usize>,
     sabotage: Option<Sabotage>,
     settings: Value,
+    platform: Platform,
     effects: HashMap<Vec<u8>, Effect>,
     struck: BTreeMap<Kind, u64>,
 }
 
 fn address(group: u8, n: usize, port: u16) -> SocketAddr {
-    SocketAddr::from(([127, 0, group, n as u8], port))
+    // Large fleets go on in the next network.
+    SocketAddr::from(([127, (n >> 8) as u8, group, n as u8], port))
 }
 fn counter_at(n: usize) -> SocketAddr {
     address(2, n, 6400)
@@ -161,6 +187,7 @@
     Figures {
         operations: operations().into_iter().map(|o| Operation { name: o.0.into(), effect: o.1 }).collect(),
         ceilings: ceilings.collect(),
+        quotas: PLANS.into_iter().filter(|p| p.1 > 0.0).map(|p| (p.0.to_owned(), (p.1, p.2))).collect(),
         cold: ColdRule {
             from: world.cold_from,
             warm_after: world.warm_after,
@@ -204,6 +231,11 @@
         digest: ctx.trace.digest(),
         met: ctx.rules.met,
         counter_calls: counter.calls,
+        connections: ctx.connections,
+        units: ctx.rules.stores.values().map(|s| s.units).sum(),
+        beyond: ctx.rules.stores.values().map(|s| s.beyond).sum(),
+        worst: ctx.rules.stores.values().map(|s| s.worst).fold(0.0, f64::max),
+        stores: ctx.rules.stores.values().copied().collect(),
         faults: struck,
         breach: ctx.rules.breach.clone().map(|b| Breach { at: b.at - EPOCH, ..b }),
         trace: ctx.trace.last(),
@@ -225,7 +257,7 @@
         }
         if world.peers {
             places.words = (0..world.doors).map(|d| (door_at(d), d)).collect();
-            places.words_all = Some(door_at(255));
+            places.words_all = Some(address(5, 1, 7946));
         }
         let offers = operations().map(|(name, effect, _, timeout, weight)| {
             let get = effect == Effect::Idempotent;
@@ -234,9 +266,13 @@
         let plans = PLANS.iter().map(|p| p.0.to_owned()).collect();
         let effects = operations().into_iter().map(|o| (o.0.as_bytes().to_vec(), o.1)).collect();
         let names: Vec<String> = (0..world.backends).map(|b| format!("s{b}.0")).collect();
+        let told = settings(&world, sabotage);
+        let about = facts::start(0, told.to_string().as_bytes()).expect("settings of our own").about;
+        let platform = operator::platform(&about, world.sockets);
         let new_door = || Door { processes: vec![], out: BTreeMap::new(), drained: false, boots: 0 };
         let mut play = Play {
-            settings: settings(&world, sabotage),
+            settings: told,
+            platform,
             discovery: Discovery::new(vec![], 0),
             clients: Clients::new(offers.into(), plans),
             script,
@@ -442,11 +478,18 @@
         self.doors[door].drained = false;
         let known = self.discovery.known(door);
         let limits = world.admission.then(|| limits(world));
+        let drawn = if world.declared {
+            declared::draw(&mut self.ctx.rng, &self.platform)
+        } else {
+            Declares::default()
+        };
+        let presence = (world.presence > 0.0).then_some(world.presence);
+        let declares = Declares { admission: limits, presence, ..drawn };
         let process = Process::boot(
             &mut self.ctx,
             (index, door, door_at(door)),
             (start, self.effects.clone()),
-            (parties, &known, shared, limits),
+            (parties, &known, shared, declares),
             self.sabotage,
         );
         self.ctx.trace.line(self.ctx.now, &format!("door {door} [{index}] starts"));
@@ -576,6 +619,7 @@
             | Kind::DrainDoor
             | Kind::Ban
             | Kind::Reload
+            | Kind::Redeclare
             | Kind::Choke => self.strikes_door(&fault, over),
             Kind::CounterDown if over => self.counter.down = false,
             Kind::CounterDown => self.counter.goes_down(&mut self.ctx),
@@ -704,6 +748,15 @@
                     self.processes[process].tell(&mut self.ctx, moved);
                 }
             }
+            (Kind::Redeclare, false) => {
+                if let Some(process) = newest {
+                    let limits = self.script.world.admission.then(|| limits(&self.script.world));
+                    let drawn = declared::draw(&mut self.ctx.rng, &self.platform);
+                    let presence = (self.script.world.presence > 0.0).then_some(self.script.world.presence);
+                    let declares = Declares { admission: limits, presence, ..drawn };
+                    self.processes[process].tell(&mut self.ctx, Event::Declared(Box::new(declares)));
+                }
+            }
             (Kind::Choke, false) => {
                 let until = now + lasts;
                 for w in self.ctx.wires.values_mut() {
--- a/emulator/src/rules.rs
+++ b/emulator/src/rules.rs
@@ -1,6 +1,7 @@
 //! The five rules, each checked by what passes on the network and by what the models did, never by what a front door says
 //! of itself. Whatever a front door writes or reads goes by here as bytes.
 use crate::net::WireId;
+use crate::quota::Store;
 use quillramp::types::{Effect, Group};
 use quillramp_gateway::wire::{http, listing, resp};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -81,6 +82,8 @@
     pub operations: Vec<Operation>,
     /// By the plan's name.
     pub ceilings: HashMap<String, Ceiling>,
+    /// Rate and burst of each plan that has a quota.
+    pub quotas: HashMap<String, (f64, f64)>,
     pub cold: ColdRule,
     pub grace: f64,
     pub second_copies: bool,
@@ -224,6 +227,8 @@
     due: BTreeSet<(u64, WireId)>,
     newcomers: HashMap<usize, Newcomer>,
     buckets: HashMap<(u64, String), (f64, f64)>,
+    /// What came of each customer's quota.
+    pub stores: HashMap<(u64, String), Store>,
     ran: HashMap<u64, Vec<(usize, f64)>>,
     two_counters: f64,
     /// Where each backend's name leads.
@@ -244,6 +249,7 @@
             due: BTreeSet::new(),
             newcomers: HashMap::new(),
             buckets: HashMap::new(),
+            stores: HashMap::new(),
             ran: HashMap::new(),
             two_counters: 0.0,
             names: BTreeMap::new(),
@@ -742,6 +748,10 @@
     fn sent_on(&mut self, now: f64, id: u64, units: f64) {
         let Some(inv) = self.invocations.get_mut(&id).filter(|i| !i.counted) else { return };
         inv.counted = true;
+        if let Some(&(rate, burst)) = self.figures.quotas.get(&inv.plan) {
+            let store = self.stores.entry((inv.customer, inv.plan.clone()));
+            store.or_insert_with(|| Store::new(rate, burst, now)).comes(now, units);
+        }
         let Some(ceiling) = self.figures.ceilings.get(&inv.plan) else { return };
         let (key, Ceiling { rate, burst, slack }) = ((inv.customer, inv.plan.clone()), *ceiling);
         self.met.ceilings += 1;
--- a/emulator/src/script.rs
+++ b/emulator/src/script.rs
@@ -53,6 +53,10 @@
     pub passed: bool,
     /// Admission is limited, and the usual clients' addresses are known.
     pub admission: bool,
+    /// Each front door has an operator's file that declares limits.
+    pub declared: bool,
+    /// Front doors look once in so many seconds who of them reaches the counter; 0: they don't.
+    pub presence: f64,
     /// Descriptors of one front door.
     pub sockets: usize,
     /// The grace after the word that a backend drains, and the rule on cold backends: the share of its capacity that it
@@ -86,6 +90,8 @@
             asks: false,
             passed: false,
             admission: false,
+            declared: false,
+            presence: 0.0,
             sockets: 256,
             drain_grace: 0.25,
             cold_from: 0.2,
@@ -164,6 +170,8 @@
     DrainDoor,
     /// The configuration names other addresses of the list and the counter.
     Reload,
+    /// The operator's file is read again, and declares other limits.
+    Redeclare,
     /// The network takes little of what it writes.
     Choke,
     // ---- the counter
@@ -234,7 +242,7 @@
             Crash | Vanish | Slow | Swallow | Spoil | Surplus | Err | TurnAway | CloseBehind | BreakOff
             | Drain | Replace => Whom::Backend,
             ZoneLoss | ZoneCut => Whom::Zone,
-            Kill | Term | Upgrade | Stall | DrainDoor | Reload | Choke => Whom::Door,
+            Kill | Term | Upgrade | Stall | DrainDoor | Reload | Redeclare | Choke => Whom::Door,
             Ban => Whom::Both,
             _ => Whom::Nobody,
         }
@@ -256,7 +264,58 @@
 
     /// It is over at once.
     pub fn at_once(self) -> bool {
-        matches!(self, Kind::Replace | Kind::Upgrade | Kind::Reload | Kind::CounterLost | Kind::Herd)
+        matches!(
+            self,
+            Kind::Replace | Kind::Upgrade | Kind::Reload | Kind::Redeclare | Kind::CounterLost | Kind::Herd
+        )
+    }
+}
+
+impl Fault {
+    /// What can't be played, each with where the fault stands.
+    pub fn check(&self, at: &str, seconds: f64, world: &World) -> Vec<String> {
+        let mut wrong = vec![];
+        let mut must = |holds: bool, says: String| {
+            if !holds {
+                wrong.push(says);
+            }
+        };
+        must(self.at >= 0.0 && self.at < seconds, format!("{at}: at: expected a time within the run"));
+        let whom = self.kind.whom();
+        let name = |what: &str, is: Option<usize>, wanted: bool, of: usize| match is {
+            Some(n) if !wanted => Some(format!("{at}: {what} = {n}: this kind has no use for it")),
+            Some(n) if n >= of => Some(format!("{at}: {what} {n} of {of}: they are counted from 0")),
+            None if wanted => Some(format!("{at}: {what} is missing")),
+            _ => None,
+        };
+        let backend = matches!(whom, Whom::Backend | Whom::Both);
+        let door = matches!(whom, Whom::Door | Whom::Both);
+        let names = [
+            name("backend", self.backend, backend, world.backends),
+            name("door", self.door, door, world.doors),
+            name("zone", self.zone, whom == Whom::Zone, world.zones),
+        ];
+        for says in names.into_iter().flatten() {
+            must(false, says);
+        }
+        match (self.lasts, self.kind.at_once()) {
+            (Some(_), true) => must(false, format!("{at}: lasts: this kind is over at once")),
+            (None, false) => must(false, format!("{at}: lasts is missing")),
+            (Some(s), false) => must(s > 0.0 && s <= LONGEST, format!("{at}: lasts: expected more than 0")),
+            (None, true) => {}
+        }
+        match (self.by, self.kind.by()) {
+            (Some(_), None) => must(false, format!("{at}: by: this kind has no use for it")),
+            (None, Some((least, most))) => must(false, format!("{at}: by is missing: {least} to {most}")),
+            (Some(by), Some((least, most))) => {
+                must(by >= least && by <= most, format!("{at}: by: expected {least} to {most}, found {by}"));
+            }
+            (None, None) => {}
+        }
+        if self.kind == Kind::Upgrade {
+            must(world.passed, format!("{at}: needs world.passed = true"));
+        }
+        wrong
     }
 }
 
@@ -292,7 +351,7 @@
             format!("seconds: expected more than 0, {LONGEST} at the most"),
         );
         let counts = [
-            ("doors", w.doors, 16),
+            ("doors", w.doors, 4096),
             ("backends", w.backends, 64),
             ("zones", w.zones, w.backends),
             ("cells", w.cells, w.backends),
@@ -314,6 +373,10 @@
         for (name, n) in positive {
             must(n > 0.0 && n.is_finite(), format!("world.{name}: expected more than 0"));
         }
+        must(
+            w.presence == 0.0 || (0.5..=10.0).contains(&w.presence),
+            "world.presence: expected 0, or 0.5 to 10 seconds".into(),
+        );
         for (name, n) in [("pieces", w.pieces), ("long", w.long), ("cold_from", w.cold_from)] {
             must((0.0..=1.0).contains(&n), format!("world.{name}: expected a share, 0 to 1"));
         }
@@ -322,47 +385,7 @@
             "world.delay: expected two times under a second, the smaller first".into(),
         );
         for (i, f) in self.faults.iter().enumerate() {
-            let at = format!("fault {} ({})", i + 1, f.kind.name());
-            must(f.at >= 0.0 && f.at < self.seconds, format!("{at}: at: expected a time within the run"));
-            let whom = f.kind.whom();
-            let name = |what: &str, is: Option<usize>, wanted: bool, of: usize| match is {
-                Some(n) if !wanted => Some(format!("{at}: {what} = {n}: this kind has no use for it")),
-                Some(n) if n >= of => Some(format!("{at}: {what} {n} of {of}: they are counted from 0")),
-                None if wanted => Some(format!("{at}: {what} is missing")),
-                _ => None,
-            };
-            let backend = matches!(whom, Whom::Backend | Whom::Both);
-            let door = matches!(whom, Whom::Door | Whom::Both);
-            let names = [
-                name("backend", f.backend, backend, w.backends),
-                name("door", f.door, door, w.doors),
-                name("zone", f.zone, whom == Whom::Zone, w.zones),
-            ];
-            for says in names.into_iter().flatten() {
-                must(false, says);
-            }
-            match (f.lasts, f.kind.at_once()) {
-                (Some(_), true) => must(false, format!("{at}: lasts: this kind is over at once")),
-                (None, false) => must(false, format!("{at}: lasts is missing")),
-                (Some(s), false) => {
-                    must(s > 0.0 && s <= LONGEST, format!("{at}: lasts: expected more than 0"))
-                }
-                (None, true) => {}
-            }
-            match (f.by, f.kind.by()) {
-                (Some(_), None) => must(false, format!("{at}: by: this kind has no use for it")),
-                (None, Some((least, most))) => must(false, format!("{at}: by is missing: {least} to {most}")),
-                (Some(by), Some((least, most))) => {
-                    must(
-                        by >= least && by <= most,
-                        format!("{at}: by: expected {least} to {most}, found {by}"),
-                    );
-                }
-                (None, None) => {}
-            }
-            if f.kind == Kind::Upgrade {
-                must(w.passed, format!("{at}: needs world.passed = true"));
-            }
+            wrong.extend(f.check(&format!("fault {} ({})", i + 1, f.kind.name()), self.seconds, w));
         }
         wrong
     }
@@ -398,6 +421,8 @@
             passed: r.gen_bool(0.4),
             sockets: r.gen_range(96..=512),
             admission: r.gen_bool(0.5),
+            declared: r.gen_bool(0.4),
+            presence: [0.0, 0.0, 0.5, 1.0].choose(r).copied().unwrap_or(0.0),
             drain_grace: r.gen_range(0.1..1.0),
             cold_from: r.gen_range(0.15..0.3),
             warm_after: r.gen_range(5.0..18.0),
--- a/emulator/tests/emulator.rs
+++ b/emulator/tests/emulator.rs
@@ -169,7 +169,7 @@
         by = 2.0
     "#;
     expect![[r#"
-        world.doors: expected 1 to 16, found 0
+        world.doors: expected 1 to 4096, found 0
         world.pieces: expected a share, 0 to 1
         fault 1 (drain): at: expected a time within the run
         fault 1 (drain): backend is missing
--- a/gateway/src/life/handover.rs
+++ b/gateway/src/life/handover.rs
@@ -92,7 +92,7 @@
         let (was, now) = update(&path, ours);
         let own = was.serves;
         let file = now.unwrap_or_else(|why| {
-            log::warn!("the next version will not know what this one does: {why}");
+            tracing::warn!("the next version will not know what this one does: {why}");
             Kept { drained: false, serves: std::process::id(), ..was }
         });
         let (to, asked) = channel();
@@ -133,7 +133,7 @@
             Ok(Ask::Holds(most)) => {
                 let says = |file: &mut Kept| (file.leaves, file.holds) = (std::process::id(), most);
                 if let Err(why) = update(&place.path, says).1 {
-                    log::warn!("the other process is not told how many descriptors are free: {why}");
+                    tracing::warn!("the other process is not told how many descriptors are free: {why}");
                 }
                 continue;
             }
@@ -183,7 +183,7 @@
 /// One that can't be read stops nothing.
 fn lenient(read: Result<Kept, String>) -> Kept {
     read.unwrap_or_else(|why| {
-        log::warn!("what was kept for this version is passed over: {why}");
+        tracing::warn!("what was kept for this version is passed over: {why}");
         Kept::default()
     })
 }
--- a/gateway/src/life/mod.rs
+++ b/gateway/src/life/mod.rs
@@ -1,4 +1,5 @@
 //! Start and stop: the configuration, the log, the signals, what the next version takes over.
+pub mod check;
 pub mod configuration;
 pub mod handover;
 pub mod logger;
--- a/gateway/src/life/operator.rs
+++ b/gateway/src/life/operator.rs
@@ -1,12 +1,63 @@
-//! The operator's file, where the environment names one.
-use quillramp_operator::Operator;
+//! The operator's file, where the environment names one: read whole, checked against the configuration, told to the front door.
+use crate::memory::event::Declares;
+use quillramp::facts::About;
+use quillramp_operator::routes::{Operation, Platform, Table};
+use quillramp_operator::{Operator, LONGEST};
+use std::fs::File;
+use std::io::Read;
 
 pub const PATH: &str = "EDGE_OPERATOR";
+/// How often a file that changes while it is read is read again.
+const TRIES: usize = 3;
 
-/// Reads it for a front door with so many descriptors; nothing is switched on where none is named. All that is wrong is
-/// said, on one line.
-pub fn read(sockets: usize) -> Result<Operator, String> {
+/// What the configuration allows, for a file to be checked against.
+pub fn platform(about: &About, sockets: usize) -> Platform {
+    let operation = |o: &quillramp::facts::Offered| Operation {
+        name: o.name.clone(),
+        effect: o.effect,
+        objective: o.latency_objective,
+        timeout: o.timeout,
+    };
+    Platform {
+        operations: about.operations.iter().map(operation).collect(),
+        plans: about.plans.clone(),
+        attempts: about.attempts,
+        second_copies: about.second_copies,
+        sockets,
+    }
+}
+
+/// The text of a file that did not change meanwhile. One that is longer than it may be is read as far as that shows.
+pub fn text(path: &str) -> Result<String, String> {
+    let told = |e: std::io::Error| format!("{path}: {e}");
+    for _ in 0..TRIES {
+        let mut file = File::open(path).map_err(told)?;
+        let about = |file: &File| file.metadata().map(|m| (m.len(), m.modified().ok()));
+        let before = about(&file).map_err(told)?;
+        let mut text = String::new();
+        (&mut file).take(LONGEST as u64 + 1).read_to_string(&mut text).map_err(told)?;
+        // The same name may be another file by now; what was read is whole all the same if this one stood still.
+        if about(&file).map_err(told)? == before && text.len() as u64 == before.0.min(LONGEST as u64 + 1) {
+            return Ok(text);
+        }
+    }
+    Err(format!("{path}: it changes while it is read"))
+}
+
+/// All that is wrong, a line each, with the file's name in front.
+pub fn faults(path: &str, faults: &[quillramp_operator::reading::Fault]) -> Vec<String> {
+    faults.iter().map(|f| format!("{path}: {f}")).collect()
+}
+
+/// Reads the file that the environment names; nothing is switched on where none is named. All that is wrong is said on one line.
+pub fn read(platform: &Platform) -> Result<Operator, String> {
     let Ok(path) = std::env::var(PATH) else { return Ok(Operator::default()) };
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
-    quillramp_operator::read(&text, sockets).map_err(|wrong| format!("{path}: {}", wrong.join("; ")))
+    let text = text(&path)?;
+    quillramp_operator::read(&text, Some(platform)).map_err(|wrong| faults(&path, &wrong).join("; "))
+}
+
+/// What the front door itself is told of it.
+pub fn declares(operator: Operator, platform: &Platform) -> Declares {
+    let Operator { admission, presence, broker, identity, .. } = operator;
+    Declares { routes: Table::new(&operator.routes, platform), admission, presence, broker, identity }
 }
--- a/gateway/src/life/signals.rs
+++ b/gateway/src/life/signals.rs
@@ -1,10 +1,11 @@
 //! Signals, told to the front door from the main thread: SIGTERM (or SIGINT, from a terminal) to end, SIGHUP to
-//! read the configuration again.
+//! read the configuration and the operator's file again.
 use super::configuration::{self, Told};
 use super::handover::Place;
-use super::operator;
+use super::{logger, operator};
 use crate::memory::event::Event;
 use crate::sockets::inbox::Inbox;
+use quillramp_operator::routes::Platform;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::sync::Arc;
@@ -14,7 +15,7 @@
 }
 
 /// Waits on the main thread, which may read files; the service's own thread ends the process.
-pub fn wait(mut signals: Signals, inbox: Arc<Inbox>, place: Option<Place>) -> ! {
+pub fn wait(mut signals: Signals, inbox: Arc<Inbox>, place: Option<Place>, platform: &Platform) -> ! {
     for signal in signals.forever() {
         if signal != SIGHUP {
             // Whether another process has come to take over may be news of this very moment.
@@ -24,16 +25,19 @@
             inbox.tell(Event::Stop);
             continue;
         }
-        match configuration::read() {
-            Ok(Told { discovery, counter, limits, .. }) => {
-                inbox.tell(Event::Moved { list: discovery, counter });
-                match operator::read(limits.sockets) {
-                    Ok(operator) => inbox.tell(Event::Admits(operator.admission)),
-                    Err(why) => inbox.tell(Event::NotMoved(why)),
-                }
-            }
+        match again(platform) {
+            Ok(events) => events.into_iter().for_each(|e| inbox.tell(e)),
             Err(why) => inbox.tell(Event::NotMoved(why)),
         }
     }
     unreachable!("signals never end");
 }
+
+/// Both files, each whole: where one can't be used neither is taken up.
+fn again(platform: &Platform) -> Result<[Event; 2], String> {
+    let Told { discovery, counter, .. } = configuration::read()?;
+    let by_operator = operator::read(platform)?;
+    logger::told(by_operator.log.as_ref());
+    let declares = operator::declares(by_operator, platform);
+    Ok([Event::Moved { list: discovery, counter }, Event::Declared(Box::new(declares))])
+}
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,10 +1,12 @@
-//! quillramp: starts the front door; the main thread then waits for signals.
-use quillramp_gateway::life::{configuration, handover, handover::Keeper, logger, operator, signals};
+//! quillramp: starts the front door, and the main thread then waits for signals; or checks an operator's file.
+use clap::{CommandFactory, Parser, Subcommand};
+use quillramp_gateway::life::{check, configuration, handover, handover::Keeper, logger, operator, signals};
 use quillramp_gateway::memory::reducer::{Parties, Reducer};
 use quillramp_gateway::sockets::{
     accept, accept::Who, clock::Clock, drive::Driver, drive::Links, inbox::Inbox,
 };
 use quillramp_gateway::sockets::{link::Common, peers::Peers};
+use std::io::Write;
 use std::process::ExitCode;
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
@@ -13,7 +15,40 @@
 const STACK: usize = 0x2000;
 const DRIVER_STACK: usize = 0x20000;
 
-fn run() -> Result<std::convert::Infallible, String> {
+/// A gateway that holds customers to their quotas before a shared back end.
+///
+/// Without a command it serves. Exit codes: 0 done, 1 a file or the start has something wrong, which is said, 2 a call that can't be
+/// understood.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    what: Option<What>,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Serve, as EDGE_CONFIG and EDGE_OPERATOR say.
+    Serve,
+    /// Check an operator's file, and say all that is wrong with it.
+    Check {
+        file: String,
+        /// The configuration to check it against; else what EDGE_CONFIG names.
+        #[arg(long)]
+        configuration: Option<String>,
+    },
+    /// Show what holds under an operator's file, and where each value comes from.
+    Show {
+        file: String,
+        /// The configuration that it narrows; else what EDGE_CONFIG names.
+        #[arg(long)]
+        configuration: Option<String>,
+    },
+    /// Print completions for a shell.
+    Completions { shell: clap_complete::Shell },
+}
+
+fn serve() -> Result<std::convert::Infallible, String> {
     let passed = handover::passed()?; // first: its descriptor is not to be taken for something of ours
     logger::start()?;
     std::panic::set_hook(Box::new(|panic| {
@@ -23,8 +58,10 @@
     }));
     let told = configuration::read()?;
     let mgmt = configuration::mgmt(&told)?;
-    let by_operator = operator::read(told.limits.sockets)?;
     let start = quillramp::facts::start(told.seed, told.settings.get().as_bytes())?;
+    let platform = operator::platform(&start.about, told.limits.sockets);
+    let by_operator = operator::read(&platform)?;
+    logger::told(by_operator.log.as_ref());
     let waiting = signals::signals()?;
     may::config().set_workers(1).set_stack_size(STACK).set_worker_pin(false);
 
@@ -54,7 +91,7 @@
     };
     let mut reducer = Reducer::new(clock.now(), start, parties, &told.known);
     reducer.share_is(clock.now(), shared);
-    reducer.admits(clock.now(), by_operator.admission);
+    reducer.declares(clock.now(), operator::declares(by_operator, &platform));
     let shared = || (links.clone(), common.clone(), stop_accepting.clone());
     let (for_clients, for_operators) = (shared(), shared());
     let place = keeper.as_ref().map(|k| k.place.clone());
@@ -67,12 +104,37 @@
         let (links, common, stop) = for_operators;
         accept::start((listener, Who::Operators), links, common, stop)?;
     }
-    log::info!("{} serves at {}", told.name, told.listen);
-    signals::wait(waiting, inbox, place)
+    tracing::info!("{} serves at {}", told.name, told.listen);
+    signals::wait(waiting, inbox, place, &platform)
+}
+
+/// Prints it; somebody who has stopped reading stops nothing.
+fn say(text: &str) {
+    let _ = writeln!(std::io::stdout(), "{}", text.trim_end());
 }
 
 fn main() -> ExitCode {
-    let Err(why) = run();
-    eprintln!("quillramp: {why}");
-    ExitCode::FAILURE
+    // Without a word there is nothing to understand, and no memory to spend on it.
+    let what = if std::env::args_os().len() > 1 { Cli::parse().what } else { None };
+    let done = match what {
+        None | Some(What::Serve) => serve().map(|never| match never {}).map_err(|why| vec![why]),
+        Some(What::Check { file, configuration }) => check::check(&file, configuration.as_deref()),
+        Some(What::Show { file, configuration }) => check::shown(&file, configuration.as_deref()),
+        Some(What::Completions { shell }) => {
+            let mut text = vec![];
+            clap_complete::generate(shell, &mut Cli::command(), "quillramp", &mut text);
+            Ok(String::from_utf8_lossy(&text).into_owned())
+        }
+    };
+    match done {
+        Ok(text) => {
+            say(&text);
+            ExitCode::SUCCESS
+        }
+        Err(wrong) => {
+            logger::flush();
+            wrong.iter().for_each(|why| eprintln!("quillramp: {why}"));
+            ExitCode::FAILURE
+        }
+    }
 }
--- a/gateway/src/memory/admission.rs
+++ b/gateway/src/memory/admission.rs
@@ -1,12 +1,26 @@
 //! Admission: the gate is told what happens to clients' connections, and what it says is carried out.
-use super::event::{Conn, Effect, Why};
+use super::event::{Conn, Declares, Effect, Why};
 use super::kept::Client;
 use super::reducer::Reducer;
 use crate::wire::resp::Answer;
+use quillramp::types::Inv;
 use quillramp_admission::{Entry, Gate, Limits, May};
 use std::net::IpAddr;
 
 impl Reducer {
+    /// What an operator's file says holds from now on. Invocations that were taken keep what they began under.
+    pub fn declares(&mut self, now: f64, declares: Declares) {
+        let Declares { admission, routes, presence, broker, identity } = declares;
+        self.identifies(identity);
+        self.brokers(now, broker);
+        self.presence(now, presence);
+        if routes != self.routes {
+            self.effects.push(Effect::Log(format!("limits declared: {routes}")));
+            self.routes = routes;
+        }
+        self.admits(now, admission);
+    }
+
     /// Limits from now on, or none. What is open above them stays.
     pub fn admits(&mut self, now: f64, limits: Option<Limits>) {
         let says = match (&self.gate, &limits) {
@@ -20,7 +34,17 @@
         match (&mut self.gate, limits) {
             (Some(gate), Some(limits)) => gate.limits(now, limits),
             (_, None) => self.gate = None,
-            (None, Some(limits)) => self.gate = Some(Gate::new(limits)),
+            (None, Some(limits)) => {
+                // Who is here already is held too.
+                let mut gate = Gate::new(limits);
+                for (id, client) in &self.clients {
+                    let Some(from) = client.from else { continue };
+                    let of = |inv: Inv| self.held[inv].as_ref().map(|h| h.call.customer);
+                    let owed = client.owed.iter().filter_map(|(inv, _)| inv.and_then(of)).collect();
+                    gate.already(now, *id, from, (client.said, owed));
+                }
+                self.gate = Some(gate);
+            }
         }
     }
 
--- /dev/null
+++ b/gateway/src/memory/broker.rs
@@ -0,0 +1,182 @@
+//! The broker between teams: an invocation is asked about there before the decisions hear of it, and what they refuse is given back.
+use super::event::Effect;
+use super::reducer::Reducer;
+use crate::wire::resp::{Answer, Call};
+use quillramp::types::*;
+use quillramp_broker::budget;
+use quillramp_broker::lending::Team;
+use quillramp_broker::{Broker, Grant, May, Why};
+use quillramp_operator::broker::Terms;
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// Outside numbers of customers and of the roster's groups lie below it: budgets' counts are named from here on.
+const NAMES: u64 = 1 << 41;
+
+pub struct Brokered {
+    broker: Broker,
+    terms: Terms,
+    /// The customer's index that stands for a team's budget, with the team; and periods by the series that their counts have.
+    counts: BTreeMap<Customer, Team>,
+    periods: BTreeMap<u32, u64>,
+}
+
+/// A team's figures as operators read them.
+#[derive(Serialize)]
+struct Shown {
+    version: Option<u32>,
+    taken: u64,
+    units: f64,
+    lent: f64,
+    later: u64,
+    never: u64,
+}
+
+/// The same name at every front door.
+fn number(team: &str) -> u64 {
+    let hash =
+        team.bytes().fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    NAMES | (hash & (NAMES - 1))
+}
+
+impl Brokered {
+    /// Whether this count is a budget's.
+    pub fn calls(&self, name: CountName) -> bool {
+        self.counts.contains_key(&name.customer)
+    }
+
+    /// What came of a call; another one may be due.
+    pub fn told(&mut self, now: f64, name: CountName, result: Counted) -> Option<CounterCall> {
+        let (team, period) = (*self.counts.get(&name.customer)?, *self.periods.get(&name.series)?);
+        let total = if let Counted::Total(total) = result { Some(total) } else { None };
+        let call = self.broker.told(now, team, period, total)?;
+        Some(CounterCall { name, add: call.add, lives: call.lives })
+    }
+}
+
+impl Reducer {
+    /// Contracts hold from now on, or none do. Invocations that were taken keep what they were granted.
+    pub(super) fn brokers(&mut self, now: f64, terms: Option<Terms>) {
+        if self.broker.as_ref().map(|b| &b.terms) == terms.as_ref() {
+            return;
+        }
+        let says = match &terms {
+            None => "no contracts between teams".into(),
+            Some(t) => {
+                let (all, teams) = (t.contracts.all().len(), t.contracts.teams().count());
+                format!("{all} contracts of {teams} teams, {} units a second in all", t.capacity)
+            }
+        };
+        self.effects.push(Effect::Log(says));
+        let doors = self.about.doors;
+        match (&mut self.broker, terms) {
+            (broker, None) => *broker = None,
+            (Some(b), Some(terms)) => {
+                b.broker.changes(now, terms.contracts.clone(), terms.capacity);
+                b.terms = terms;
+            }
+            (broker, Some(terms)) => {
+                let new = Broker::new(now, terms.contracts.clone(), doors, terms.capacity);
+                *broker =
+                    Some(Brokered { broker: new, terms, counts: BTreeMap::new(), periods: BTreeMap::new() });
+            }
+        }
+    }
+
+    /// What its team's contract gives for an invocation, nothing where there is no broker; or what its client hears.
+    pub(super) fn contracted(
+        &mut self,
+        now: f64,
+        (client, call): (u64, &Call),
+        ask: &Ask,
+    ) -> Result<Option<Grant>, Answer> {
+        let answer = match self.known(now, client, ask.operation, call) {
+            Ok(speaks) => match self.admitted_by_contract(now, speaks, call, ask) {
+                Ok(grant) => return Ok(grant),
+                Err(answer) => answer,
+            },
+            Err(answer) => answer,
+        };
+        if let Some(gate) = &mut self.gate {
+            gate.answered(now, client, call.customer, false);
+        }
+        Err(answer)
+    }
+
+    /// `speaks`: the team whose token the client showed, where it had to show one.
+    fn admitted_by_contract(
+        &mut self,
+        now: f64,
+        speaks: Option<String>,
+        call: &Call,
+        ask: &Ask,
+    ) -> Result<Option<Grant>, Answer> {
+        let Some(b) = &mut self.broker else { return Ok(None) };
+        let team = match speaks {
+            Some(name) => Some(b.broker.team(&name)),
+            None => b.broker.speaks_for(now, call.customer),
+        };
+        let operation = &self.about.operations[ask.operation].name;
+        let (may, due) = match team {
+            Some(team) => b.broker.asks(now, team, (operation, call.customer), ask.units),
+            None if b.terms.strangers => return Ok(None),
+            None => (May::Never(Why::NoContract), None),
+        };
+        if let (Some(team), Some(due)) = (team, due) {
+            self.calls_budget(now, team, due);
+        }
+        match may {
+            May::Take(grant) => Ok(Some(grant)),
+            May::Later(seconds, _) => {
+                let retry_after_ms = self.about.advises.then(|| (seconds.min(3600.0) * 1e3).ceil() as u64);
+                Err(Answer::Busy { retry_after_ms })
+            }
+            May::Never(why) => Err(Answer::Error(format!("contract: {}", why.code()))),
+        }
+    }
+
+    fn calls_budget(&mut self, now: f64, team: Team, due: budget::Call) {
+        let Some(b) = &mut self.broker else { return };
+        let Some(name) = b.broker.name(team).map(number) else { return };
+        let customer = self.customers.index(&name);
+        b.counts.insert(customer, team);
+        let series = due.period as u32;
+        b.periods.insert(series, due.period);
+        while b.periods.len() > 64 {
+            b.periods.pop_first();
+        }
+        let name = CountName { customer, series };
+        self.count(now, CounterCall { name, add: due.add, lives: due.lives });
+    }
+
+    /// What an invocation really took.
+    pub(super) fn billed(&mut self, now: f64, inv: Inv, units: f64) {
+        let Some(b) = &mut self.broker else { return };
+        if let Some(grant) = self.held[inv].as_mut().and_then(|h| h.grant.as_mut()) {
+            b.broker.settles(now, grant, units);
+            grant.units = units;
+        }
+    }
+
+    /// An invocation is over that was never sent on.
+    pub(super) fn unused(&mut self, inv: Inv) {
+        let Some(held) = self.held[inv].as_mut().filter(|h| h.deliveries.is_empty()) else { return };
+        if let (Some(b), Some(grant)) = (&mut self.broker, held.grant.take()) {
+            b.broker.gives_back(&grant);
+        }
+    }
+
+    /// What teams have of their contracts, for operators.
+    pub(super) fn usage(&self) -> String {
+        let Some(b) = &self.broker else { return "{}".into() };
+        let shown: BTreeMap<&str, Shown> = b
+            .broker
+            .usage()
+            .map(|(name, version, u)| {
+                let (taken, units, lent, later, never) = (u.taken, u.units, u.lent, u.later, u.never);
+                (name, Shown { version, taken, units, lent, later, never })
+            })
+            .collect();
+        serde_json::to_string(&shown).expect("plain figures")
+    }
+}
--- a/gateway/src/memory/clients.rs
+++ b/gateway/src/memory/clients.rs
@@ -5,6 +5,7 @@
 use crate::wire::resp::{Answer, Call, Command};
 use quillramp::facts::{About, Offered};
 use quillramp::types::*;
+use quillramp_broker::Grant;
 use std::sync::Arc;
 
 impl Reducer {
@@ -19,6 +20,7 @@
         let answer = match command {
             Command::Ping if takes => Answer::Pong,
             Command::Ping => Answer::Error("draining".into()),
+            Command::Auth(token) => self.authenticated(now, id, &token),
             Command::Wrong(why) => Answer::Error(why),
             Command::Broken(why) => {
                 client.broken = true;
@@ -26,8 +28,17 @@
             }
             Command::Call(call) => match self.ask(now, &call) {
                 Ok(ask) => match self.may_ask(now, id, call.customer) {
-                    None => return self.take(now, (id, no), *call, ask),
-                    Some(later) => later,
+                    None => match self.contracted(now, (id, &call), &ask) {
+                        Ok(grant) => return self.take(now, (id, no), *call, ask, grant),
+                        Err(answer) => {
+                            self.stats.rejected[ask.operation] += 1;
+                            answer
+                        }
+                    },
+                    Some(later) => {
+                        self.stats.rejected[ask.operation] += 1;
+                        later
+                    }
                 },
                 Err(why) => Answer::Error(why),
             },
@@ -41,8 +52,8 @@
         let operation = operations.iter().position(|o| o.name.as_bytes() == call.operation());
         let operation = operation.ok_or("unknown operation")?;
         let plan = plans.iter().position(|p| p.as_bytes() == call.plan()).ok_or("unknown plan")?;
-        let Offered { idempotent, timeout, .. } = operations[operation];
-        if call.get != idempotent {
+        let Offered { effect, timeout, .. } = operations[operation];
+        if call.get != (effect == quillramp::types::Effect::Idempotent) {
             return Err(
                 "not by this command: CALL.GET is for what may be repeated, CALL.POST for all else".into()
             );
@@ -62,15 +73,38 @@
         }
         let customer = self.customers.index(&call.customer);
         let of = Doors { first: call.first, number: call.spread };
-        let until = now + call.wait / 1e3;
-        Ok(Ask { operation, plan, customer, units: call.units, of, until })
+        // Taken under what is declared now, and kept under it whatever is declared later.
+        let held = self.routes.of(operation, plan, call.customer);
+        let longest = held.map_or(f64::INFINITY, |h| h.timeout);
+        let (until, declared) = (now + (call.wait / 1e3).min(longest), held.map(|h| h.declared));
+        let declared = declared.unwrap_or_default();
+        let absent = self.roster.as_mut().map_or(0.0, |r| r.absent(now, of));
+        Ok(Ask { operation, plan, customer, units: call.units, of, until, absent, declared })
     }
 
-    pub(super) fn take(&mut self, now: f64, (client, command): (u64, u64), call: Call, ask: Ask) {
+    pub(super) fn take(
+        &mut self,
+        now: f64,
+        (client, command): (u64, u64),
+        call: Call,
+        ask: Ask,
+        grant: Option<Grant>,
+    ) {
         let call = Arc::new(call);
         self.open.insert(call.id);
         let (deliveries, closed, ends, begun, passes) = (vec![], false, None, None, false);
-        let inv = self.held.put(Held { ask, call, client, command, deliveries, closed, ends, begun, passes });
+        let inv = self.held.put(Held {
+            ask,
+            call,
+            client,
+            command,
+            deliveries,
+            closed,
+            ends,
+            begun,
+            passes,
+            grant,
+        });
         self.clients.get_mut(&client).expect("checked").owed.push_back((Some(inv), None));
         self.place(now, inv);
     }
--- a/gateway/src/memory/counter.rs
+++ b/gateway/src/memory/counter.rs
@@ -68,16 +68,26 @@
     fn counter_says(&mut self, now: f64, name: CountName, no: u64, result: Counted) {
         let key = (name.customer, name.series);
         let Some(turns) = self.turns.get_mut(&key) else { return };
+        let mut more: Vec<CounterCall> = vec![];
         if let Some(turn) = turns.iter_mut().find(|t| t.no == no) {
             turn.result = Some(result);
         }
         while let Some(result) = turns.front().and_then(|t| t.result) {
             turns.pop_front();
-            self.door.counted(now, name, result);
+            if let Some(roster) = self.roster.as_mut().filter(|r| r.calls(name)) {
+                roster.told(now, name, result);
+            } else if let Some(broker) = self.broker.as_mut().filter(|b| b.calls(name)) {
+                more.extend(broker.told(now, name, result));
+            } else {
+                self.door.counted(now, name, result);
+            }
         }
         if turns.is_empty() {
             self.turns.remove(&key);
         }
+        for call in more {
+            self.count(now, call);
+        }
     }
 
     pub(super) fn request(&self, call: &CounterCall) -> Request {
--- a/gateway/src/memory/event.rs
+++ b/gateway/src/memory/event.rs
@@ -3,7 +3,11 @@
 use crate::wire::manage;
 use crate::wire::resp::{Answer, Call, Command, Reply};
 use quillramp_admission::Limits;
+use quillramp_identity::Trust;
+use quillramp_operator::broker::Terms;
+use quillramp_operator::routes::Table;
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
@@ -79,6 +83,38 @@
     }
 }
 
+/// What an operator's file says to the front door.
+#[derive(Debug, Default)]
+pub struct Declares {
+    /// The limits of admission, where there are any.
+    pub admission: Option<Limits>,
+    /// What is declared for which invocations.
+    pub routes: Table,
+    /// The span in which front doors look who of them reaches the counter, seconds; none where they don't.
+    pub presence: Option<f64>,
+    /// Contracts between teams, where there is a broker.
+    pub broker: Option<Terms>,
+    /// What tokens are checked against, where callers have to be known.
+    pub identity: Option<Trust>,
+}
+
+/// The end of a connection, as the log has it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct End {
+    pub kind: &'static str,
+    pub id: u64,
+    /// A backend's name.
+    pub name: Option<String>,
+    pub why: Why,
+}
+
+impl fmt::Display for End {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let (space, name) = self.name.as_ref().map_or(("", ""), |n| (" ", n));
+        write!(f, "connection {} {}{space}{name} ended: {}", self.kind, self.id, self.why.code())
+    }
+}
+
 /// What operators change for good: it is kept for the next version too.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -156,8 +192,8 @@
         list: SocketAddr,
         counter: Option<SocketAddr>,
     },
-    /// The operator's file was read again: the limits of admission, where there are any.
-    Admits(Option<Limits>),
+    /// The operator's file was read again, all of it well.
+    Declared(Box<Declares>),
     /// The configuration was to be read again, and can't be.
     NotMoved(String),
     Stop,
@@ -190,6 +226,7 @@
     Close(Conn),
     Datagram(SocketAddr, Vec<u8>),
     Log(String),
+    LogEnd(End),
     StopAccepting,
     /// Once all that was written has left.
     Exit,
--- /dev/null
+++ b/gateway/src/memory/identity.rs
@@ -0,0 +1,71 @@
+//! Who speaks on a client's connection, where callers have to be known: a token once, by AUTH, and a look at it for each command.
+use super::event::Effect;
+use super::reducer::Reducer;
+use crate::wire::resp::{Answer, Call};
+use quillramp_identity::{Door, Trust};
+
+impl Reducer {
+    /// Other keys and revocations from now on, or nobody has to be known. Who is known is looked at again with its next command.
+    pub(super) fn identifies(&mut self, trust: Option<Trust>) {
+        if self.identity.as_ref().map(Door::trust) == trust.as_ref() {
+            return;
+        }
+        let says = match &trust {
+            None => "callers need not be known".into(),
+            Some(t) => format!(
+                "callers are known by tokens of {}: {} keys, {} revoked",
+                t.issuer,
+                t.keys.len(),
+                t.revoked.len()
+            ),
+        };
+        self.effects.push(Effect::Log(says));
+        match (&mut self.identity, trust) {
+            (identity, None) => *identity = None,
+            (Some(door), Some(trust)) => door.trusts(trust),
+            (identity, Some(trust)) => *identity = Some(Door::new(trust)),
+        }
+    }
+
+    /// A client says who it is. What a token holds is nobody's business, and no line's.
+    pub(super) fn authenticated(&mut self, now: f64, id: u64, token: &[u8]) -> Answer {
+        let Some(door) = &mut self.identity else { return Answer::Error("unknown command".into()) };
+        let caller = door.opens_to(now, token);
+        let Some(client) = self.clients.get_mut(&id) else { return Answer::Okay };
+        match caller {
+            Ok(caller) => {
+                client.caller = Some(caller);
+                Answer::Okay
+            }
+            Err(no) => {
+                client.caller = None;
+                self.effects.push(Effect::Log(format!("client {id}: token not taken: {no}")));
+                Answer::Denied(format!("WRONGPASS {no}"))
+            }
+        }
+    }
+
+    /// The team that speaks, where callers have to be known; or what its client hears.
+    pub(super) fn known(
+        &mut self,
+        now: f64,
+        id: u64,
+        operation: usize,
+        call: &Call,
+    ) -> Result<Option<String>, Answer> {
+        let Some(door) = &self.identity else { return Ok(None) };
+        let client = self.clients.get(&id);
+        let Some(caller) = client.and_then(|c| c.caller.as_ref()) else {
+            return Err(Answer::Denied("NOAUTH a token first, by AUTH".into()));
+        };
+        if let Err(no) = door.still(now, caller) {
+            return Err(Answer::Denied(format!("NOAUTH {no}")));
+        }
+        // Somebody has to say for whom it may speak: the token, or a contract.
+        let said = caller.customers.is_some() || self.broker.is_some();
+        if !said || !caller.may(&self.about.operations[operation].name, call.customer) {
+            return Err(Answer::Denied("NOPERM not this operation, or not for this customer".into()));
+        }
+        Ok(Some(caller.team.clone()))
+    }
+}
--- a/gateway/src/memory/kept.rs
+++ b/gateway/src/memory/kept.rs
@@ -1,8 +1,10 @@
 //! What a front door keeps, by how long it lives.
 use crate::wire::resp::{Answer, Call};
 use quillramp::types::*;
+use quillramp_broker::Grant;
+use quillramp_identity::Caller;
 use std::collections::VecDeque;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 /// One delivery; its link while it is out.
@@ -35,6 +37,8 @@
     /// The delivery whose value is to pass through, and whether it does: it is its turn on the client's connection.
     pub begun: Option<usize>,
     pub passes: bool,
+    /// What its team's contract gave for it.
+    pub grant: Option<Grant>,
 }
 
 impl Held {
@@ -46,6 +50,9 @@
 /// A client's connection: its unanswered commands in order, and those answered out of order.
 #[derive(Default)]
 pub struct Client {
+    pub from: Option<IpAddr>,
+    /// Who speaks on it, once that was said.
+    pub caller: Option<Caller>,
     pub first: u64,
     pub owed: VecDeque<(Option<Inv>, Option<Answer>)>,
     /// When it last said something, or was answered.
@@ -136,5 +143,6 @@
     Operator(u64),
     Leave,
     Mute,
+    Roster,
     Exit,
 }
--- a/gateway/src/memory/mod.rs
+++ b/gateway/src/memory/mod.rs
@@ -2,10 +2,12 @@
 //! `reducer` takes events in and asks the decisions; its other parts stand in a file each.
 mod admission;
 mod backends;
+mod broker;
 mod clients;
 mod counter;
 mod drain;
 pub mod event;
+mod identity;
 pub mod intake;
 pub mod kept;
 mod list;
@@ -13,4 +15,5 @@
 mod peers;
 pub mod reducer;
 mod room;
+mod roster;
 mod streams;
--- a/gateway/src/memory/operators.rs
+++ b/gateway/src/memory/operators.rs
@@ -89,6 +89,10 @@
                 let figures = self.figures() + "\n";
                 self.respond(now, id, 200, figures);
             }
+            Call::Contracts => {
+                let usage = self.usage() + "\n";
+                self.respond(now, id, 200, usage);
+            }
             Call::Wrong(status) => self.respond(now, id, status, "no such call\n".into()),
             Call::Out(name) | Call::Back(name) if !self.listed_names.known.contains(&name) => {
                 self.respond(now, id, 404, format!("backend {name} was never listed\n"));
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -1,8 +1,10 @@
 //! The reducer: every change of what a front door keeps goes through here. It turns events into calls of the
 //! decisions and their answers into effects; it decides nothing and touches no socket.
-use super::event::{Conn, Effect, Event, Shared, Why};
+use super::broker::Brokered;
+use super::event::{Conn, Effect, End, Event, Shared, Why};
 use super::kept::*;
 use super::operators::{Names, Stats};
+use super::roster::Roll;
 use crate::wire::listing::Listing;
 use crate::wire::resp::Answer;
 use quillramp::decide::Door;
@@ -10,6 +12,7 @@
 use quillramp::ids::{Ids, Slots};
 use quillramp::types::*;
 use quillramp_admission::Gate;
+use quillramp_operator::routes::Table;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
@@ -42,6 +45,14 @@
     pub(super) speak: BTreeMap<u64, usize>,
     /// Who may connect and ask, where that is limited.
     pub(super) gate: Option<Gate>,
+    /// What callers' tokens are checked against, where they have to be known.
+    pub(super) identity: Option<quillramp_identity::Door>,
+    /// Contracts between teams, where operators have set them.
+    pub(super) broker: Option<Brokered>,
+    /// Which front doors the counter hears of, where operators want to know.
+    pub(super) roster: Option<Roll>,
+    /// What operators have declared for which invocations.
+    pub(super) routes: Table,
     /// Somebody was turned away in this batch.
     pub(super) turned_away: bool,
     pub(super) links: HashMap<u64, Link>,
@@ -90,6 +101,10 @@
             clients: HashMap::new(),
             speak: BTreeMap::new(),
             gate: None,
+            identity: None,
+            broker: None,
+            roster: None,
+            routes: Table::default(),
             turned_away: false,
             links: HashMap::new(),
             counters: BTreeMap::new(),
@@ -149,7 +164,7 @@
                     return self.close(Conn::Client(id), Why::Stopping);
                 }
                 if self.admitted(now, id, from) {
-                    self.clients.insert(id, Client { used: now, ..Client::default() });
+                    self.clients.insert(id, Client { used: now, from: Some(from), ..Client::default() });
                     self.room(now);
                 }
             }
@@ -216,7 +231,7 @@
                     self.counter_moved();
                 }
             }
-            Event::Admits(limits) => self.admits(now, limits),
+            Event::Declared(declares) => self.declares(now, *declares),
             Event::Stop => self.stop(now),
         }
         self.conclude(now);
@@ -280,6 +295,7 @@
             Due::Operator(id) => self.end_call(id),
             Due::Leave => self.leave(now),
             Due::Mute => self.mute(),
+            Due::Roster => self.call_roll(now),
             Due::Exit => self.effects.push(Effect::ExitNow),
         }
     }
@@ -293,9 +309,8 @@
             Conn::Operator(id) => ("operator", id),
         };
         let tgt = self.links.get(&id).filter(|_| matches!(conn, Conn::Backend(_)));
-        let name = tgt.and_then(|l| self.names.name(l.tgt)).map_or("", |n| n);
-        let space = if name.is_empty() { "" } else { " " };
-        self.effects.push(Effect::Log(format!("connection {kind} {id}{space}{name} ended: {}", why.code())));
+        let name = tgt.and_then(|l| self.names.name(l.tgt)).cloned();
+        self.effects.push(Effect::LogEnd(End { kind, id, name, why }));
     }
 
     pub(super) fn close(&mut self, conn: Conn, why: Why) {
@@ -329,6 +344,9 @@
             let sent = &held.deliveries[delivery];
             let (tgt, took, closed) = (sent.tgt, sent.took.unwrap_or(now - sent.at), held.closed);
             let outcome = Outcome { delivery, tgt, ending, took, closed, true_units, report };
+            if let Some(units) = true_units {
+                self.billed(now, inv, units);
+            }
             let answer = self.door.after(now, inv, &outcome);
             self.carry_out(now, inv, answer);
         }
@@ -372,6 +390,7 @@
         if !self.ended.iter().any(|e| e.0 == inv) {
             held.ends.map(|key| self.timers.remove(&key));
             self.open.remove(&held.call.id);
+            self.unused(inv);
             self.held.release(inv);
         }
     }
--- /dev/null
+++ b/gateway/src/memory/roster.rs
@@ -0,0 +1,89 @@
+//! The roster on the counter: its calls go where all calls of the counter go, under names that no customer has.
+use super::event::Effect;
+use super::kept::Due;
+use super::reducer::Reducer;
+use quillramp::types::*;
+use quillramp_presence::Roster;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Outside numbers of customers lie below it: groups of front doors are named from here on.
+const NAMES: u64 = 1 << 40;
+
+pub struct Roll {
+    roster: Roster,
+    every: f64,
+    /// The customer's index that stands for a group.
+    groups: BTreeMap<Customer, usize>,
+    missing: BTreeSet<usize>,
+    /// When its timer is due; another one is left over from an earlier roster.
+    at: f64,
+}
+
+impl Roll {
+    /// Whether this count is the roster's.
+    pub fn calls(&self, name: CountName) -> bool {
+        self.groups.contains_key(&name.customer)
+    }
+
+    pub fn told(&mut self, now: f64, name: CountName, result: Counted) {
+        let Some(&group) = self.groups.get(&name.customer) else { return };
+        let total = if let Counted::Total(total) = result { Some(total) } else { None };
+        self.roster.told(now, (group, name.series), total);
+    }
+
+    /// The part of these front doors that the counter does not hear of. That somebody asks is remembered.
+    pub fn absent(&mut self, now: f64, of: Doors) -> f64 {
+        self.roster.wants(now, of.first, of.number);
+        1.0 - self.roster.present(now, of.first, of.number)
+    }
+}
+
+impl Reducer {
+    /// Front doors look who of them reaches the counter once in so many seconds, or do no longer.
+    pub(super) fn presence(&mut self, now: f64, every: Option<f64>) {
+        if self.roster.as_ref().map(|r| r.every) == every {
+            return;
+        }
+        let says = every
+            .map_or("no roster on the counter".into(), |e| format!("roster on the counter, every {e} s"));
+        self.effects.push(Effect::Log(says));
+        self.roster = every.map(|every| Roll {
+            roster: Roster::new(self.about.doors, self.about.slot, every),
+            every,
+            groups: BTreeMap::new(),
+            missing: BTreeSet::new(),
+            at: now,
+        });
+        if every.is_some() {
+            self.at(now, Due::Roster);
+        }
+    }
+
+    /// Its calls that are due; its timer goes on as long as there is a roster.
+    pub(super) fn call_roll(&mut self, now: f64) {
+        let Some(Roll { roster, groups, missing, at, .. }) = self.roster.as_mut().filter(|r| now >= r.at)
+        else {
+            return;
+        };
+        let mut calls = vec![];
+        for call in roster.due(now) {
+            let customer = self.customers.index(&(NAMES + call.group as u64));
+            groups.insert(customer, call.group);
+            let name = CountName { customer, series: call.span };
+            calls.push(CounterCall { name, add: call.add, lives: call.lives });
+        }
+        let gone = roster.missing(now);
+        if gone != *missing {
+            let names: Vec<String> = gone.iter().map(usize::to_string).collect();
+            let says = if names.is_empty() { "none".into() } else { names.join(", ") };
+            self.effects.push(Effect::Log(format!("front doors that the counter does not hear of: {says}")));
+            *missing = gone;
+        }
+        let next = roster.next(now);
+        *at = next;
+        for call in calls {
+            self.count(now, call);
+        }
+        self.at(next, Due::Roster);
+    }
+}
--- a/gateway/src/sockets/accept.rs
+++ b/gateway/src/sockets/accept.rs
@@ -60,13 +60,13 @@
                             links.insert(conn, link);
                             common.inbox.push(event);
                         }
-                        Err(e) => log::warn!("connection {conn:?} ended: {e}"),
+                        Err(e) => tracing::warn!("connection {conn:?} ended: {e}"),
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
-                    log::warn!("accept: {e}");
+                    tracing::warn!("accept: {e}");
                     common.short.store(true, Ordering::Relaxed);
                     common.inbox.push(Event::Crowded);
                     break;
--- a/gateway/src/sockets/drive.rs
+++ b/gateway/src/sockets/drive.rs
@@ -2,8 +2,8 @@
 use super::clock::Clock;
 use super::link::{Common, Link};
 use super::peers::Peers;
-use crate::life::handover::Keeper;
-use crate::memory::event::{Conn, Effect, Event, Why};
+use crate::life::{handover::Keeper, logger};
+use crate::memory::event::{Conn, Effect, End, Event, Why};
 use crate::memory::reducer::Reducer;
 use crate::wire::resp::Answer;
 use atomic_refcell::AtomicRefCell;
@@ -162,7 +162,7 @@
             Effect::Connect(conn, to) => match Link::connect(conn, to, &self.common) {
                 Ok(link) => self.links.insert(conn, link),
                 Err(e) => {
-                    log::warn!("connect to {to}: {e}");
+                    tracing::warn!("connect to {to}: {e}");
                     self.common.inbox.push(Event::Ended { conn, why: Why::Refused, unsent: true });
                 }
             },
@@ -172,7 +172,11 @@
                     peers.send(to, &body);
                 }
             }
-            Effect::Log(line) => log::info!("{line}"),
+            Effect::Log(line) => tracing::info!("{line}"),
+            Effect::LogEnd(end) => {
+                let End { kind, id, ref name, why } = end;
+                tracing::info!(connection = kind, id, name, why = why.code(), "{end}");
+            }
             Effect::StopAccepting => {
                 self.stop_accepting.store(true, Ordering::Relaxed);
                 self.common.wake_acceptors();
@@ -193,7 +197,7 @@
 }
 
 fn exit() -> ! {
-    log::info!("stopped");
-    log::logger().flush();
+    tracing::info!("stopped");
+    logger::flush();
     std::process::exit(0)
 }
--- a/gateway/src/sockets/inbox.rs
+++ b/gateway/src/sockets/inbox.rs
@@ -63,7 +63,7 @@
         let after = Duration::from_secs_f64(seconds.clamp(1e-6, 3600.0));
         let once = Expiration::OneShot(after.into());
         if let Err(e) = self.alarm.inner().0.set(once, TimerSetTimeFlags::empty()) {
-            log::error!("alarm: {e}");
+            tracing::error!("alarm: {e}");
         }
     }
 }
--- a/gateway/src/wire/manage.rs
+++ b/gateway/src/wire/manage.rs
@@ -10,6 +10,8 @@
 pub enum Call {
     Health,
     Stats,
+    /// What teams have of their contracts.
+    Contracts,
     /// Leave a backend out, or use it again.
     Out(String),
     Back(String),
@@ -63,6 +65,7 @@
     let (wants, call) = match words[..] {
         ["healthcheck"] => ("GET", Call::Health),
         ["stats"] => ("GET", Call::Stats),
+        ["contracts"] => ("GET", Call::Contracts),
         ["healthcheck", "fail"] => ("POST", Call::Fail),
         ["healthcheck", "ok"] => ("POST", Call::Ok),
         ["backends", id, "maint"] if !id.is_empty() => ("POST", Call::Out(plain(id).into_owned())),
--- a/gateway/src/wire/resp.rs
+++ b/gateway/src/wire/resp.rs
@@ -53,6 +53,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
     Ping,
+    /// Who the client is, by a token.
+    Auth(Vec<u8>),
     Call(Box<Call>),
     /// A whole command that can't be served, and why.
     Wrong(String),
@@ -77,6 +79,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
     Pong,
+    Okay,
     Value(Vec<u8>),
     /// A value that has passed on its way here.
     Passed,
@@ -84,6 +87,8 @@
         retry_after_ms: Option<u64>,
     },
     Error(String),
+    /// Its caller is not known, or may not: with its code in front.
+    Denied(String),
 }
 
 impl Answer {
@@ -91,6 +96,8 @@
         match self {
             Answer::Passed => {}
             Answer::Pong => out.extend_from_slice(b"+PONG\r\n"),
+            Answer::Okay => out.extend_from_slice(b"+OK\r\n"),
+            Answer::Denied(why) => out.extend_from_slice(format!("-{why}\r\n").as_bytes()),
             Answer::Value(value) => {
                 out.extend_from_slice(format!("${}\r\n", value.len()).as_bytes());
                 out.extend_from_slice(value);
@@ -188,6 +195,9 @@
         }
     } else if is("CALL.GET") || is("CALL.POST") {
         Command::Wrong("wrong number of arguments".into())
+    } else if is("AUTH") && (n == 2 || n == 3) {
+        // With a name before it, as RESP has it; the token says the name itself.
+        Command::Auth(word(n - 1).to_vec())
     } else {
         Command::Wrong("unknown command".into())
     };
--- a/gateway/tests/admission.rs
+++ b/gateway/tests/admission.rs
@@ -178,8 +178,8 @@
         (said.status.code(), text.trim()),
         (
             Some(1),
-            "quillramp: FILE: admission.connections: expected 1 to 960, as 1024 descriptors are allowed and 64 serve \
-             else; admission.strangers: expected 1 to 5000, found 0"
+            "quillramp: FILE: line 2: admission.connections: expected 1 to 960, as 1024 descriptors are allowed and 64 \
+             serve else, found 5000; FILE: line 3: admission.strangers: expected 1 to 5000, found 0"
         )
     );
 }
--- a/gateway/tests/reducer.rs
+++ b/gateway/tests/reducer.rs
@@ -1,8 +1,8 @@
 //! The reducer without sockets: events in, the effects it asks for as a short trace.
 use expect_test::{expect, Expect};
 use quillramp_admission::Limits;
-use quillramp_gateway::life::configuration;
-use quillramp_gateway::memory::event::{Conn, Effect, Event, Shared, Why};
+use quillramp_gateway::life::{configuration, operator};
+use quillramp_gateway::memory::event::{Conn, Declares, Effect, Event, Shared, Why};
 use quillramp_gateway::memory::reducer::{Parties, Reducer};
 use quillramp_gateway::wire::http::{Request, Response};
 use quillramp_gateway::wire::manage;
@@ -62,6 +62,7 @@
         Effect::Datagram(to, body) => format!("datagram of {} to {to}", body.len()),
         Effect::Close(_) => return None, // its log line tells
         Effect::Log(line) => format!("log: {line}"),
+        Effect::LogEnd(end) => format!("log: {end}"),
         Effect::Respond(id, r) => format!("operator {id}: {} {}", r.status, r.body.trim_end()),
         Effect::Holds(most) => format!("will hold {most} descriptors at the most"),
         Effect::TurnAway(id, why) => format!("client {id} is not taken in: {why}"),
@@ -91,6 +92,10 @@
     fn event(&mut self, event: Event) -> &mut Self {
         self.batch(vec![event])
     }
+    fn admits(&mut self, limits: Limits) -> &mut Self {
+        let declares = Declares { admission: Some(limits), ..Declares::default() };
+        self.event(Event::Declared(Box::new(declares)))
+    }
     fn batch(&mut self, mut events: Vec<Event>) -> &mut Self {
         self.reducer.batch(self.now, &mut events);
         self.settle();
@@ -514,7 +519,7 @@
         0.000 log: connection counter 2 ended: bad-framing
         0.000 connect Backend(3) to 127.0.0.1:7011
         0.200 connect Counter(4) to 127.0.0.1:7007
-        0.200 Counter(4): add 0.6263157894735932
+        0.200 Counter(4): add 1.026315789473684
         0.200 log: connection counter 4 ended: bad-framing
         0.200 connect Backend(5) to 127.0.0.1:7012
         0.250 log: connection backend 3 s-a ended: dial-timeout
@@ -961,7 +966,7 @@
 /// Room for three clients, one of them from the known address.
 fn gated() -> Bench {
     let mut b = bench_of(1024, false, false);
-    b.event(Event::Admits(Some(Limits { known: vec!["10.0.0.1".parse().expect("an address")], ..LIMITS })));
+    b.admits(Limits { known: vec!["10.0.0.1".parse().expect("an address")], ..LIMITS });
     b.text.clear();
     b
 }
@@ -1025,7 +1030,7 @@
 fn what_came_with_a_connection_counts_from_the_moment_it_is_held() {
     let mut b = bench_with(32 + 4);
     let limits = Limits { connections: 30, reserve: 0, per_address: 30, strangers: 30, ..LIMITS };
-    b.event(Event::Admits(Some(limits))).client(1).client(2).until(0.5).text.clear();
+    b.admits(limits).client(1).client(2).until(0.5).text.clear();
     b.batch(vec![Event::Accepted(3, HERE), said_by(3, PING), said_by(3, PING)]);
     b.is_but_list(expect![[r#"
         0.500 client 3: +PONG
@@ -1033,6 +1038,77 @@
     "#]]);
 }
 
+/// A front door under this operator's file.
+fn declared(b: &mut Bench, text: &str) {
+    let told = configuration::decode(TOLD.as_bytes()).expect("a good configuration");
+    let start = quillramp::facts::start(told.seed, told.settings.get().as_bytes()).expect("good settings");
+    let platform = operator::platform(&start.about, 1024);
+    let read = quillramp_operator::read(text, Some(&platform)).expect("a good file");
+    b.event(Event::Declared(Box::new(operator::declares(read, &platform))));
+}
+
+const SHORT: &str = "[[class]]\nname = \"short\"\nattempts = 1\ntimeout = 0.2\n[[route]]\noperations = [\"look\"]\nclass = \"short\"\n";
+
+/// Guards: an invocation is kept under the limits it was taken under, and its class may be gone by then; two files in one batch
+/// are taken up in their order; what is taken up is told once.
+#[test]
+fn invocations_keep_the_limits_they_began_under() {
+    let mut b = bench();
+    b.client(1).client(2).client(3);
+    b.call(1, "look", 1).until(0.1);
+    declared(&mut b, SHORT);
+    b.call(2, "look", 2).until(0.15);
+    declared(&mut b, SHORT);
+    declared(&mut b, "");
+    b.call(3, "look", 3).until(2.0);
+    b.only(|l| l.contains("client") || l.contains("declared"));
+    b.is(expect![[r#"
+        0.100 log: limits declared: 1 classes, for 1 pairs of operation and plan
+        0.150 log: limits declared: 0 classes, for 0 pairs of operation and plan
+        0.254 client 3: -BUSY 400
+        0.266 client 1: -BUSY 400
+        0.300 client 2: -BUSY 500
+    "#]]);
+}
+
+/// Guards: a gate that is switched on while connections are open did not know them, and their addresses passed their caps.
+#[test]
+fn admission_knows_who_was_there_before_it() {
+    let mut b = bench();
+    b.client(1).client(2).says(1, PING).call(2, "look", 5).until(0.01);
+    b.admits(LIMITS).text.clear();
+    b.client(3).client(4).says(3, PING).says(4, PING);
+    b.only(|l| l.contains("client"));
+    b.is(expect![[r#"
+        0.010 client 3 is not taken in: full
+        0.010 log: connection client 3 ended: turned-away
+        0.010 client 4 is not taken in: full
+        0.010 log: connection client 4 ended: turned-away
+    "#]]);
+}
+
+const CONTRACT: &str =
+    "[broker]\ncapacity = 100\nstrangers = \"refuse\"\n[[contract]]\nteam = \"t\"\nrate = 3\nburst = 3\n\
+                        operations = [\"look\"]\ncustomers = [\"0000000000000005\"]\n";
+
+/// Guards: what a contract refuses never reaches the decisions, what they refuse is given back to it, and who has no contract hears so.
+#[test]
+fn an_invocation_has_room_in_its_contract_first() {
+    let mut b = bench();
+    declared(&mut b, CONTRACT);
+    b.client(1).text.clear();
+    // An even part of three a second is one, with which it begins.
+    b.call(1, "look", 5).call(1, "look", 5).call(1, "order", 5).call(1, "look", 6).until(1.5);
+    b.only(|l| l.contains("client"));
+    b.is(expect![[r#"
+        0.516 client 1: -BUSY 500
+        0.516 client 1: -BUSY 1000
+        0.516 client 1: -ERR contract: not an operation of its contract
+        0.516 client 1: -ERR contract: no contract in force
+    "#]]);
+    assert_eq!(b.reducer.figures().matches("\"look\":").count(), 3);
+}
+
 const LIMITS: Limits = Limits {
     connections: 3,
     reserve: 1,
--- a/load/src/bin/quillramp-load.rs
+++ b/load/src/bin/quillramp-load.rs
@@ -1,10 +1,12 @@
 //! quillramp-load: plays experiments and keeps what came of them.
 use clap::{Parser, Subcommand};
 use quillramp_load::experiment::Experiment;
-use quillramp_load::{play, results};
+use quillramp_load::play;
+use quillramp_load::results::{self, Session};
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Instant;
 
 /// Loads front doors on loopback and measures them.
 ///
@@ -25,6 +27,8 @@
         #[arg(long)]
         out: PathBuf,
     },
+    /// Compare what two folders keep, variant by variant.
+    Compare { first: PathBuf, second: PathBuf },
     /// Check experiments without playing them.
     Check { experiments: Vec<PathBuf> },
 }
@@ -40,38 +44,44 @@
 fn run(path: &Path, folder: &Path) -> Result<ExitCode, String> {
     let experiment = read(path)?;
     std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-    let (mut plays, mut rows) = (vec![], vec![]);
+    let mut session = Session::default();
     let all = experiment.repetitions * experiment.variants.len();
+    let start = Instant::now();
     for repetition in 0..experiment.repetitions {
         for variant in &experiment.variants {
-            eprintln!("play {} of {all}: {}, repetition {}", plays.len() + 1, variant.name, repetition + 1);
+            let done = session.plays.len();
+            let so_far = start.elapsed().as_secs_f64();
+            let left = so_far / done.max(1) as f64 * (all - done) as f64;
+            let left = if done == 0 { String::new() } else { format!(", about {left:.0} s to go") };
+            eprintln!("play {} of {all}: {}, repetition {}{left}", done + 1, variant.name, repetition + 1);
             match play::play(&experiment, (variant, repetition), folder) {
-                Ok((play, new)) => {
-                    plays.push(play);
-                    rows.extend(new);
-                }
+                Ok(played) => session.add(played),
                 // What there is, is kept, and says so.
                 Err(why) => {
-                    results::write(folder, &plays, &rows, false)?;
-                    return Err(format!(
-                        "{}: {why}; {} plays are kept in {}",
-                        variant.name,
-                        plays.len(),
-                        folder.display()
-                    ));
+                    session.write(folder)?;
+                    let kept = format!("{done} plays are kept in {}", folder.display());
+                    return Err(format!("{}: {why}; {kept}", variant.name));
                 }
             }
-            results::write(folder, &plays, &rows, plays.len() == all)?;
+            session.whole = session.plays.len() == all;
+            session.write(folder)?;
         }
     }
-    let _ = writeln!(std::io::stdout(), "{}", results::summary(&plays, &rows, true));
-    let bad = plays.iter().any(|p| p.twice > 0 || p.died > 0);
+    let _ = writeln!(std::io::stdout(), "{}", results::summary(&session));
+    let bad = session.plays.iter().any(|p| p.twice > 0 || p.died > 0);
     Ok(if bad { ExitCode::FAILURE } else { ExitCode::SUCCESS })
 }
 
+fn compare(first: &Path, second: &Path) -> Result<ExitCode, String> {
+    let text = results::between(&Session::read(first)?, &Session::read(second)?)?;
+    let _ = writeln!(std::io::stdout(), "{text}");
+    Ok(ExitCode::SUCCESS)
+}
+
 fn main() -> ExitCode {
     let done = match Cli::parse().what {
         What::Run { experiment, out } => run(&experiment, &out),
+        What::Compare { first, second } => compare(&first, &second),
         What::Check { experiments } => {
             let wrong: Vec<String> = experiments.iter().filter_map(|p| read(p).err()).collect();
             if wrong.is_empty() {
--- a/load/src/results.rs
+++ b/load/src/results.rs
@@ -1,11 +1,26 @@
-//! Results in a folder: raw rows, a row a play, a summary with median and spread, charts; and the comparison of two variants.
-use crate::play::{Play, Row};
+//! Results in a folder: raw rows, a row a play, load by backend, a summary with median and spread, charts; and comparisons.
+use crate::charts;
+use crate::generator::{Outcome, Row};
+use crate::play::{Had, Play, Played};
+use crate::stage::Load;
 use hdrhistogram::Histogram;
-use plotters::prelude::*;
-use std::collections::BTreeMap;
+use serde::de::DeserializeOwned;
 use std::fmt::Write;
 use std::path::Path;
 
+/// All that was played in a session, or is read back from a folder.
+#[derive(Clone, Debug, Default)]
+pub struct Session {
+    pub plays: Vec<Play>,
+    pub rows: Vec<Row>,
+    pub loads: Vec<Load>,
+    pub had: Vec<Had>,
+    /// All that was to be played was.
+    pub whole: bool,
+}
+
+const INTERRUPTED: &str = "Interrupted";
+
 /// Figures of one play.
 #[derive(Clone, Debug, Default)]
 pub struct Figures {
@@ -20,14 +35,22 @@
     pub rate: f64,
     /// By how much the generator was late, 99th percentile, milliseconds: figures under it say nothing.
     pub late: f64,
-    /// Milliseconds of processor time of front doors for one invocation.
+    /// Milliseconds of processor time of front doors for one invocation, and megabytes of one front door.
     pub processor: f64,
+    pub memory: f64,
+    /// Deliveries and counter calls for one invocation; connections to backends that one front door made.
+    pub deliveries: f64,
+    pub calls: f64,
+    pub connections: f64,
+    /// The share of the units that ran beyond quotas, and the worst customer's share above its own.
+    pub beyond: f64,
+    pub worst: f64,
 }
 
 type Named = (&'static str, fn(&Figures) -> f64);
 
 /// What is summed up and compared, by name.
-pub const FIGURES: [Named; 8] = [
+pub const FIGURES: [Named; 14] = [
     ("succeeded, share", |f| f.succeeded),
     ("throttled, share", |f| f.throttled),
     ("failed, share", |f| f.failed),
@@ -36,27 +59,33 @@
     ("succeeded a second", |f| f.rate),
     ("generator late, 99th percentile, ms", |f| f.late),
     ("processor of front doors, ms an invocation", |f| f.processor),
+    ("memory of a front door, MB", |f| f.memory),
+    ("deliveries an invocation", |f| f.deliveries),
+    ("counter calls an invocation", |f| f.calls),
+    ("connections to backends, a front door", |f| f.connections),
+    ("units beyond quotas, share", |f| f.beyond),
+    ("worst customer above its quota, share", |f| f.worst),
 ];
 
 /// Microseconds up to a minute, to three digits.
-fn histogram() -> Histogram<u64> {
+pub fn histogram() -> Histogram<u64> {
     Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds that hold")
 }
 
 pub fn figures(play: &Play, rows: &[Row]) -> Figures {
     let own: Vec<&Row> =
         rows.iter().filter(|r| r.variant == play.variant && r.repetition == play.repetition).collect();
-    let share =
-        |of: &[&str]| own.iter().filter(|r| of.contains(&r.outcome)).count() as f64 / own.len().max(1) as f64;
+    let share = |of: Outcome| own.iter().filter(|r| r.outcome == of).count() as f64 / own.len().max(1) as f64;
+    let each = |n: u64| n as f64 / own.len().max(1) as f64;
     let (mut took, mut late) = (histogram(), histogram());
     for r in &own {
         late.saturating_record((r.late.max(0.0) * 1e6) as u64 + 1);
-        if r.outcome == "succeeded" {
+        if r.outcome == Outcome::Succeeded {
             took.saturating_record((r.took * 1e6) as u64 + 1);
         }
     }
     let seconds = own.iter().map(|r| r.at).fold(0.0, f64::max).max(0.001);
-    let (succeeded, throttled) = (share(&["succeeded"]), share(&["throttled"]));
+    let (succeeded, throttled) = (share(Outcome::Succeeded), share(Outcome::Throttled));
     Figures {
         succeeded,
         throttled,
@@ -66,6 +95,12 @@
         rate: succeeded * own.len() as f64 / seconds,
         late: late.value_at_quantile(0.99) as f64 / 1e3,
         processor: 1e3 * play.processor / own.len().max(1) as f64,
+        memory: play.memory_mb / play.doors.max(1) as f64,
+        deliveries: each(play.deliveries),
+        calls: each(play.counter_calls),
+        connections: play.connections as f64 / play.doors.max(1) as f64,
+        beyond: play.beyond / play.units.max(1.0),
+        worst: play.worst,
     }
 }
 
@@ -106,13 +141,14 @@
     (mean, one_sign && mean.abs() > 2.0 * error)
 }
 
-pub fn summary(plays: &[Play], rows: &[Row], whole: bool) -> String {
+pub fn summary(session: &Session) -> String {
+    let Session { plays, rows, whole, .. } = session;
     let all = by_variant(plays, rows);
     let mut text = String::from(
         "# Results of quillramp-load\n\nFigures of this tool, among its own stand-ins; no other's.\n\n",
     );
     if !whole {
-        text += "**Interrupted: what was played until then.**\n\n";
+        let _ = writeln!(text, "**{INTERRUPTED}: what was played until then.**\n");
     }
     let names: Vec<&str> = all.iter().map(|v| v.0).collect();
     let _ = writeln!(
@@ -163,19 +199,77 @@
     text
 }
 
-type Done = Result<(), Box<dyn std::error::Error>>;
+impl Session {
+    pub fn add(&mut self, played: Played) {
+        self.plays.push(played.play);
+        self.rows.extend(played.rows);
+        self.loads.extend(played.loads);
+        self.had.extend(played.had);
+    }
+
+    /// Writes all of it into the folder.
+    pub fn write(&self, folder: &Path) -> Result<(), String> {
+        let at = |name: &str| folder.join(name);
+        let told = |name: &str, done: charts::Done| done.map_err(|e| format!("{}: {e}", at(name).display()));
+        told("rows.csv", table(&at("rows.csv"), &self.rows))?;
+        told("plays.csv", table(&at("plays.csv"), &self.plays))?;
+        told("backends.csv", table(&at("backends.csv"), &self.loads))?;
+        told("customers.csv", table(&at("customers.csv"), &self.had))?;
+        told("summary.md", std::fs::write(at("summary.md"), summary(self)).map_err(Into::into))?;
+        told("percentiles.svg", charts::percentiles(&at("percentiles.svg"), self))?;
+        told("service.svg", charts::service(&at("service.svg"), self))?;
+        told("backends.svg", charts::backends(&at("backends.svg"), self))
+    }
+
+    /// Reads a folder back.
+    pub fn read(folder: &Path) -> Result<Session, String> {
+        let said = std::fs::read_to_string(folder.join("summary.md")).unwrap_or_default();
+        let whole = !said.is_empty() && !said.contains(INTERRUPTED);
+        Ok(Session {
+            plays: read(&folder.join("plays.csv"))?,
+            rows: read(&folder.join("rows.csv"))?,
+            loads: read(&folder.join("backends.csv"))?,
+            had: read(&folder.join("customers.csv"))?,
+            whole,
+        })
+    }
+
+    /// Variants in the order in which they were played first.
+    pub fn variants(&self) -> Vec<&str> {
+        let mut names: Vec<&str> = vec![];
+        for play in &self.plays {
+            if !names.contains(&play.variant.as_str()) {
+                names.push(&play.variant);
+            }
+        }
+        names
+    }
+}
 
-/// Writes all of it into the folder.
-pub fn write(folder: &Path, plays: &[Play], rows: &[Row], whole: bool) -> Result<(), String> {
-    let at = |name: &str| folder.join(name);
-    let told = |name: &str, done: Done| done.map_err(|e| format!("{}: {e}", at(name).display()));
-    told("rows.csv", table(&at("rows.csv"), rows))?;
-    told("plays.csv", table(&at("plays.csv"), plays))?;
-    told("summary.md", std::fs::write(at("summary.md"), summary(plays, rows, whole)).map_err(Into::into))?;
-    told("percentiles.svg", percentiles(&at("percentiles.svg"), plays, rows))
+/// Two folders: each variant that both played, in pairs by repetition.
+pub fn between(a: &Session, b: &Session) -> Result<String, String> {
+    let mut text = String::from("# One session against another\n\nPlayed apart: what drifts on a machine between sessions counts as a difference here.\n");
+    for (which, session) in [("first", a), ("second", b)] {
+        if !session.whole {
+            let _ = writeln!(text, "\nThe {which} one was interrupted.");
+        }
+    }
+    let both: Vec<&str> = a.variants().into_iter().filter(|n| b.variants().contains(n)).collect();
+    if both.is_empty() {
+        return Err("no variant is in both".into());
+    }
+    let (of_a, of_b) = (by_variant(&a.plays, &a.rows), by_variant(&b.plays, &b.rows));
+    for name in both {
+        let of = |all: &[(&str, Vec<Figures>)]| {
+            all.iter().find(|v| v.0 == name).map(|v| v.1.clone()).unwrap_or_default()
+        };
+        text +=
+            &compared(&of(&of_a), &of(&of_b), "the first session", &format!("{name}, the second session"));
+    }
+    Ok(text)
 }
 
-fn table<T: serde::Serialize>(path: &Path, rows: &[T]) -> Done {
+fn table<T: serde::Serialize>(path: &Path, rows: &[T]) -> charts::Done {
     let mut out = csv::Writer::from_path(path)?;
     for row in rows {
         out.serialize(row)?;
@@ -184,35 +278,7 @@
     Ok(())
 }
 
-/// Latency by percentile, a line a variant.
-fn percentiles(path: &Path, plays: &[Play], rows: &[Row]) -> Done {
-    let mut lines: BTreeMap<&str, Histogram<u64>> = BTreeMap::new();
-    for play in plays {
-        lines.entry(&play.variant).or_insert_with(histogram);
-    }
-    for r in rows.iter().filter(|r| r.outcome == "succeeded") {
-        if let Some(line) = lines.get_mut(r.variant.as_str()) {
-            line.saturating_record((r.took * 1e6) as u64 + 1);
-        }
-    }
-    let most = lines.values().map(|h| h.value_at_quantile(0.999)).max().unwrap_or(1) as f64 / 1e3;
-    let root = SVGBackend::new(path, (760, 420)).into_drawing_area();
-    root.fill(&WHITE)?;
-    let mut chart = ChartBuilder::on(&root)
-        .caption("Latency from the intended start, succeeded", ("sans-serif", 16))
-        .margin(8)
-        .x_label_area_size(36)
-        .y_label_area_size(56)
-        .build_cartesian_2d(0.0..100.0, 0.0..most.max(0.001) * 1.05)?;
-    chart.configure_mesh().x_desc("percentile").y_desc("ms").draw()?;
-    for (i, (name, h)) in lines.iter().enumerate() {
-        let color = Palette99::pick(i).to_rgba();
-        let points =
-            (0..=999).map(|p| (f64::from(p) / 10.0, h.value_at_quantile(f64::from(p) / 1e3) as f64 / 1e3));
-        let line = chart.draw_series(LineSeries::new(points, color.stroke_width(2)))?;
-        line.label(*name).legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color));
-    }
-    chart.configure_series_labels().background_style(WHITE).border_style(BLACK).draw()?;
-    root.present()?;
-    Ok(())
+fn read<T: DeserializeOwned>(path: &Path) -> Result<Vec<T>, String> {
+    let told = |e: csv::Error| format!("{}: {e}", path.display());
+    csv::Reader::from_path(path).map_err(told)?.deserialize().collect::<Result<_, _>>().map_err(told)
 }
--- a/load/tests/load.rs
+++ b/load/tests/load.rs
@@ -1,7 +1,12 @@
 //! The tool finds what is there: arrivals by seed, a known delay, an effect twice, a difference and no difference.
+use expect_test::expect;
+use quillramp_emulator::quota::Store;
+use quillramp_emulator::script::Kind;
 use quillramp_load::experiment::Experiment;
-use quillramp_load::play::{play, Play, Row};
-use quillramp_load::results::{beyond, figures, summary, write};
+use quillramp_load::faults::{burst, played as can_play, schedule, warmth};
+use quillramp_load::generator::{Outcome, Row};
+use quillramp_load::play::{play, Play, Played};
+use quillramp_load::results::{between, beyond, figures, summary, Session};
 use std::path::PathBuf;
 
 const RELAY: &str = env!("CARGO_BIN_EXE_quillramp-relay");
@@ -27,7 +32,8 @@
 
 fn played(experiment: &Experiment, name: &str) -> Vec<(Play, Vec<Row>)> {
     let folder = folder(name);
-    let all = experiment.variants.iter().map(|v| play(experiment, (v, 0), &folder).expect("played"));
+    let split = |p: Played| (p.play, p.rows);
+    let all = experiment.variants.iter().map(|v| split(play(experiment, (v, 0), &folder).expect("played")));
     let all = all.collect();
     std::fs::remove_dir_all(&folder).expect("ours");
     all
@@ -61,9 +67,10 @@
 fn an_effect_that_is_there_twice_is_reported() {
     let e = experiment(&variant("twice", "RELAY_TWICE = \"1\""));
     let (play, rows) = played(&e, "twice").remove(0);
-    let orders = rows.iter().filter(|r| r.order && r.outcome == "succeeded").count() as u64;
+    let orders = rows.iter().filter(|r| r.order && r.outcome == Outcome::Succeeded).count() as u64;
     assert!(orders > 20 && play.twice == orders, "{} of {orders}", play.twice);
-    assert!(summary(&[play], &rows, true).contains("| effects twice | "));
+    let session = Session { plays: vec![play], rows, whole: true, ..Session::default() };
+    assert!(summary(&session).contains("| effects twice | "));
 }
 
 #[test]
@@ -71,9 +78,9 @@
     let text = "[[variant]]\nname = \"dead\"\nprogram = \"/bin/false\"\n";
     let e = experiment(text);
     let folder = folder("dead");
-    let why = play(&e, (&e.variants[0], 0), &folder).expect_err("it never accepts");
+    let why = play(&e, (&e.variants[0], 0), &folder).err().expect("it never accepts");
     assert!(why.contains("/bin/false ended"), "{why}");
-    write(&folder, &[], &[], false).expect("written");
+    Session::default().write(&folder).expect("written");
     let said = std::fs::read_to_string(folder.join("summary.md")).expect("there");
     assert!(said.contains("Interrupted"), "{said}");
     std::fs::remove_dir_all(&folder).expect("ours");
@@ -109,3 +116,151 @@
         .expect_err("wrong")
         .contains("speed"));
 }
+
+#[test]
+fn a_session_is_written_and_read_and_compared_with_another() {
+    let e = experiment(&variant("usual", ""));
+    let at = folder("session");
+    let mut session = Session::default();
+    session.add(play(&e, (&e.variants[0], 0), &at).expect("played"));
+    session.whole = true;
+    session.write(&at).expect("written");
+    let again = Session::read(&at).expect("read");
+    assert!(again.whole && again.rows.len() == session.rows.len() && again.loads == session.loads);
+    let said = between(&session, &again).expect("the same variant");
+    assert!(said.contains("| succeeded, share | +0.000 | no |"), "{said}");
+    let mut other = again.clone();
+    other.plays.iter_mut().for_each(|p| p.variant = "another".into());
+    assert_eq!(between(&session, &other), Err("no variant is in both".into()));
+    for chart in ["percentiles.svg", "service.svg", "backends.svg"] {
+        assert!(std::fs::read_to_string(at.join(chart)).expect(chart).contains("<svg"), "{chart}");
+    }
+    std::fs::remove_dir_all(&at).expect("ours");
+    assert!(Session::read(&at).expect_err("gone").contains("plays.csv"));
+}
+
+/// Three backends in turns, of which one is struck: what the tool must see, and when.
+#[test]
+fn a_backend_that_crashes_is_seen_to_do_nothing_meanwhile() {
+    let text =
+        variant("struck", "RELAY_POLICY = \"round-robin\"") + &variant("spared", "") + "spared = true\n";
+    let faults = "[[fault]]\nat = 0.5\nkind = \"crash\"\nbackend = 1\nlasts = 0.5\n";
+    let e = experiment(&(text + faults));
+    let at = folder("crash");
+    let [struck, spared] = [0, 1].map(|i| play(&e, (&e.variants[i], 0), &at).expect("played"));
+    std::fs::remove_dir_all(&at).expect("ours");
+    let failed = |p: &Played| p.rows.iter().filter(|r| r.outcome == Outcome::Errored).count();
+    assert!(failed(&struck) > 3 && failed(&spared) == 0, "{} {}", failed(&struck), failed(&spared));
+    // Afterwards the baseline's old connections there end one by one; before, nothing is amiss.
+    assert!(struck.rows.iter().all(|r| r.outcome == Outcome::Succeeded || r.at > 0.45));
+    let did = |p: &Played, b: usize| -> f64 {
+        p.loads.iter().filter(|l| l.backend == b && l.at >= 0.75 && l.at < 1.0).map(|l| l.units).sum()
+    };
+    assert_eq!(did(&struck, 1), 0.0);
+    assert!(did(&struck, 0) > 0.0, "the others go on");
+}
+
+#[test]
+fn a_front_door_that_is_killed_is_left_out_and_comes_back() {
+    let faults = "[[fault]]\nat = 0.4\nkind = \"kill\"\ndoor = 0\nlasts = 0.4\n";
+    let e = experiment(&(variant("one", "") + faults));
+    let (play, rows) = played(&e, "kill").remove(0);
+    assert_eq!(play.died, 0, "it was meant");
+    let at = |door: usize, from: f64, to: f64| {
+        rows.iter()
+            .filter(|r| r.door == door && r.at >= from && r.at < to && r.outcome == Outcome::Succeeded)
+            .count()
+    };
+    assert_eq!(at(0, 0.45, 0.75), 0);
+    assert!(at(1, 0.45, 0.75) > 4 && at(0, 1.1, 1.5) > 2, "{} {}", at(1, 0.45, 0.75), at(0, 1.1, 1.5));
+}
+
+#[test]
+fn a_front_door_that_stands_still_is_not_hidden() {
+    let faults = "[[fault]]\nat = 0.4\nkind = \"stall\"\ndoor = 0\nlasts = 0.4\n";
+    let e = experiment(&(variant("one", "") + faults));
+    let (_, rows) = played(&e, "stall").remove(0);
+    // Whoever came to it early in its stand has waited for nearly all of it.
+    let waited = rows.iter().filter(|r| r.door == 0 && (0.4..0.6).contains(&r.at) && r.took > 0.15).count();
+    assert!(waited > 3, "{waited}");
+    assert!(rows.iter().all(|r| r.door == 0 || r.took < 0.15));
+}
+
+#[test]
+fn shares_of_a_backends_answers_are_spoilt_failed_and_turned_away() {
+    let strike = |kind: &str, backend: usize| {
+        format!("[[fault]]\nat = 0.0\nkind = \"{kind}\"\nbackend = {backend}\nlasts = 9.0\nby = 1.0\n")
+    };
+    let faults = strike("err", 0) + &strike("turn-away", 1) + &strike("spoil", 2);
+    let e = experiment(&(variant("all ill", "RELAY_POLICY = \"round-robin\"") + &faults));
+    let (play, rows) = played(&e, "ill").remove(0);
+    let of = |o: Outcome| rows.iter().filter(|r| r.outcome == o).count();
+    assert_eq!(of(Outcome::Succeeded), 0);
+    assert!(of(Outcome::Throttled) > 20 && of(Outcome::Errored) > 40, "{rows:?}");
+    // What was turned away did not run.
+    assert_eq!(play.by_backend.split(' ').nth(1), Some("0"));
+}
+
+#[test]
+fn what_strikes_has_its_times() {
+    let text = "seed = 1\n[world]\nbackends = 4\nzones = 2\n[traffic]\nseconds = 9.0\nrate = 10.0\nconnections = 1\n\
+                [[variant]]\nname = \"a\"\n\
+                [[fault]]\nat = 2.0\nkind = \"zone-loss\"\nzone = 1\nlasts = 1.0\n\
+                [[fault]]\nat = 1.0\nkind = \"slow\"\nbackend = 0\nlasts = 1.0\nby = 3.0\n\
+                [[fault]]\nat = 4.0\nkind = \"burst\"\nlasts = 1.0\nby = 2.0\n";
+    let e = Experiment::read(text).expect("good");
+    let steps: Vec<String> = schedule(&e.faults, &e.world)
+        .iter()
+        .map(|s| {
+            format!("{} {} {} {}", s.at, s.kind.name(), s.whom, if s.begins { "begins" } else { "over" })
+        })
+        .collect();
+    expect![[r#"
+        1 slow 0 begins
+        2 slow 0 over
+        2 crash 1 begins
+        2 crash 3 begins
+        3 crash 1 over
+        3 crash 3 over"#]]
+    .assert_eq(&steps.join("\n"));
+    assert_eq!((burst(&e.faults, 3.9), burst(&e.faults, 4.5), burst(&e.faults, 5.0)), (1.0, 2.0, 1.0));
+    let come = e.arrivals(0).iter().filter(|a| (4.0..5.0).contains(&a.at)).count();
+    assert!(come > 12, "{come}");
+    assert!(can_play(Kind::CounterSplit) && !can_play(Kind::Upgrade));
+    let w = &e.world;
+    assert_eq!((warmth(w, None), warmth(w, Some(0.0)), warmth(w, Some(99.0))), (1.0, w.cold_from, 1.0));
+}
+
+#[test]
+fn units_beyond_a_quota_are_counted_once() {
+    // 10 at once and 1 a second: 12 at the start are 2 too many, and one a second after that none.
+    let mut came = vec![(0.0, 6.0), (0.0, 6.0)];
+    assert_eq!(Store::of(&came, 1.0, 10.0).beyond, 2.0);
+    came.extend((1..=20).map(|s| (f64::from(s), 1.0)));
+    assert!((Store::of(&came, 1.0, 10.0).beyond - 2.0).abs() < 1e-9);
+    assert!((Store::of(&came, 1.0, 10.0).worst - 0.2).abs() < 1e-9);
+    // A span that begins late: a second burst after the store has filled again is none.
+    assert_eq!(Store::of(&[(0.0, 10.0), (10.0, 10.0)], 1.0, 10.0).beyond, 0.0);
+    assert_eq!(Store::of(&[(0.0, 10.0), (10.0, 10.0)], 1.0, 10.0).worst, 0.0);
+    // Order does not matter, and half of what the second time brings is too much.
+    assert_eq!(Store::of(&[(5.0, 10.0), (0.0, 10.0)], 1.0, 10.0).beyond, 5.0);
+}
+
+#[test]
+fn a_wrong_fault_or_a_fleet_too_large_is_told() {
+    let wrong =
+        "seed = 1\n[traffic]\nseconds = 2.0\nconnections = 90\nidle = 5000\n[[variant]]\nname = \"a\"\n\
+                 [[variant]]\nname = \"b\"\ndoors = 301\n\
+                 [[fault]]\nat = 1.0\nkind = \"upgrade\"\ndoor = 0\n\
+                 [[fault]]\nat = 3.0\nkind = \"burst\"\nlasts = 1.0\nby = 2.0\n";
+    expect![[r#"
+        traffic: 5090 connections to a front door of 1024 descriptors
+        variant 2: world.doors: expected 1 to 300, found 301
+        variant 2: traffic.connections: expected 1 or more, 12000 at all front doors at the most
+        variant 2: traffic: 5090 connections to a front door of 1024 descriptors
+        fault 1 (upgrade): only the emulator has this kind
+        fault 1 (upgrade): needs world.passed = true
+        fault 2 (burst): a closed loop has no rate that could grow
+        fault 2 (burst): at: expected a time within the run"#]]
+    .assert_eq(&Experiment::read(wrong).expect_err("wrong"));
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -279,34 +279,35 @@
             self.invs.get_mut(&inv).expect("held").admitted = true;
         }
         let v = &self.invs[&inv];
-        let (ask, came, luck) = (v.ask, v.came, v.luck);
-        let Operation { latency_objective: objective, effect } = self.operations[ask.operation];
+        let (ask, says, came, luck) = (v.ask, v.ask.declared, v.came, v.luck);
+        let Operation { latency_objective, effect } = self.operations[ask.operation];
+        let (objective, most) = (latency_objective.min(says.objective), self.may.most.min(says.attempts));
         let (out, tries, left) = (v.out(), v.deliveries.len(), ask.until - now);
         let (units, high) = (ask.units.max(1.0), self.times[ask.operation].high * ask.units.max(1.0));
-        let ran = v.deliveries.iter().find(|d| !d.ending.is_some_and(Ending::never_ran));
-        let ran = ran.map(|d| (d.tgt, d.sent));
+        let may_have = |d: &&Delivery| !d.ending.is_some_and(Ending::never_ran);
+        let ran = v.deliveries.iter().find(may_have).map(|d| (d.tgt, d.sent));
         let (may_repeat, bound) = match (ran, effect) {
-            (None, _) | (_, Effect::Idempotent) => (true, None),
             (Some((tgt, sent)), Effect::Tokened { group, window }) => {
-                (now < sent + window, (group != Group::All).then_some((group, tgt)))
+                (now < sent + window.min(says.repeat_within), (group != Group::All).then_some((group, tgt)))
             }
-            (_, Effect::NonIdempotent) => (false, None),
+            (Some(_), Effect::NonIdempotent) => (false, None),
+            (ran, _) => (ran.is_none_or(|(_, sent)| now < sent + says.repeat_within), None),
         };
         let (may_throttle, late) = (ran.is_none() || effect == Effect::Idempotent, now - came > objective);
-        let spent = tries >= self.may.most || tries > 0 && (late || ran.is_some() && self.repeats < 1.0);
+        let spent = tries >= most || tries > 0 && (late || ran.is_some() && self.repeats < 1.0);
         if out > 0 {
             // A delivery is doubted when its backend is quiet, or when its answer is long overdue.
             let i = v.deliveries.iter().rposition(|d| d.ending.is_none()).expect("one is out");
-            if now < v.look || effect != Effect::Idempotent || late || tries >= self.may.most {
+            if now < v.look || effect != Effect::Idempotent || late || tries >= most || !may_repeat {
                 return Verdict::NotYet;
             }
             let b = &self.backends[&v.deliveries[i].tgt];
             let quiet = self.quiet(now, b, self.times[ask.operation].high);
-            if self.repeats < 1.0 || !quiet && now - v.deliveries[i].sent <= DOUBT * high / self.share(now, b)
-            {
-                return self.look_again(now, inv, high / 2.0);
+            let doubtful = (DOUBT * high / self.share(now, b)).min(says.per_try);
+            if self.repeats < 1.0 || !quiet && now - v.deliveries[i].sent <= doubtful {
+                return self.look_again(now, inv, (high / 2.0).min(says.per_try / 4.0));
             }
-            if !self.may.second_copies {
+            if !(self.may.second_copies && says.second_copies) {
                 self.errands.cancels.extend(self.may.cancels.then_some((inv, i)));
                 self.invs.get_mut(&inv).expect("held").look = f64::INFINITY;
                 return Verdict::NotYet;
@@ -323,7 +324,7 @@
             return self.look_again(now, inv, objective / 50.0);
         };
         self.repeats = (self.repeats + REPEATS.0 - f64::from(ran.is_some())).min(REPEATS.1);
-        self.look_again(now, inv, high);
+        self.look_again(now, inv, high.min(says.per_try));
         self.invs.get_mut(&inv).expect("held").deliveries.push(Delivery { tgt, sent: now, ending: None });
         let b = self.backends.get_mut(&tgt).expect("picked");
         (b.quiet_since, b.unused) = (if b.out == 0 { now } else { b.quiet_since }, f64::INFINITY);
@@ -375,11 +376,11 @@
     fn account(&mut self, now: f64, (customer, plan, of): (Customer, usize, Doors)) -> &mut Account {
         let (p, doors) = (&self.plans[plan], of.number.max(1) as f64);
         let (slice, ceiling) = (p.burst / doors / self.own, p.ceiling_slack / doors / 2.0 / self.own);
-        let (used, bell, gone) = (now, f64::INFINITY, p.rate * WINDOW);
-        let new = Account { plan, doors, of, slice, ceiling, used, bell, ..Account::default() };
+        let (used, bell, rate) = (now, f64::INFINITY, p.rate);
+        let new = Account { plan, doors, of, rate, slice, ceiling, used, bell, ..Account::default() };
         let a = self.accounts.entry(customer).or_insert(new);
         let series = (now / WINDOW) as u32;
-        let edges = f64::from(series.wrapping_sub(a.series));
+        let (edges, gone) = (f64::from(series.wrapping_sub(a.series)), a.rate * WINDOW);
         (a.seen, a.series) = (a.seen.map(|s| s - edges * gone), series);
         self.look_after(customer, now + IDLE);
         self.accounts.get_mut(&customer).expect("just made")
@@ -391,25 +392,23 @@
         if v.paid {
             return None;
         }
-        let (customer, units, past) = (v.ask.customer, v.ask.units, now >= v.counter_until);
+        let (Ask { customer, units, absent, .. }, past) = (v.ask, now >= v.counter_until);
         self.account(now, (customer, v.ask.plan, v.ask.of));
         let a = self.accounts.get_mut(&customer).expect("just made");
         let (p, doors) = (&self.plans[a.plan], a.doors * self.own);
         let (even, most) = (p.rate / doors, p.burst / doors);
+        a.rate = p.rate * (1.0 - absent); // those whom the count does not reach have their even slices of it
         a.slice = (a.slice + even * (now - a.used)).min(most);
-        // What the slice regained the store did too.
-        a.sliced = a.sliced.min(most - a.slice);
         // The count vouches for what is leased: it lies inside the quota. The rest is held under a ceiling
         // by an even share of a part of what that leaves above the quota (a count may lag: with all of it a
         // ceiling came to 99% of the rule), empty at start: a restart fills nothing.
         let part = |all: f64| ABOVE * all / doors;
         let (above, room) = (part(p.ceiling_rate - p.rate), part(p.ceiling_burst - p.burst));
         a.ceiling = (a.ceiling + above * (now - a.used)).min(room);
-        let often = now - a.used < LAPSE;
-        a.used = now;
+        let often = now - std::mem::replace(&mut a.used, now) < LAPSE;
         let capped = p.ceiling_rate > 0.0 && a.ceiling < units;
         // A young count grants the burst once more, the last one's may just be spent: it vouches for nothing.
-        let (series, regained) = (a.series, p.rate * (now - f64::from(a.series) * WINDOW));
+        let (series, regained) = (a.series, a.rate * (now - f64::from(a.series) * WINDOW));
         let vouched = p.ceiling_rate <= 0.0 || p.rate > 0.0 && regained >= p.burst;
         if p.rate <= 0.0 || now < a.lapses && a.lease >= units {
             if !vouched && capped {
@@ -422,6 +421,8 @@
         let owed = a.settle + a.sliced;
         let room = a.seen.map_or(p.burst, |s| p.burst + regained - (s + owed).max(regained));
         let rich = room > p.burst / 2.0;
+        // What the slice regained a store that is rich did too, or one of which nothing else spends.
+        a.sliced = if rich || self.store.silent { a.sliced.min(most - a.slice) } else { a.sliced };
         let leasing = a.calls.iter().any(|c| matches!(c.what, Errand::Lease { .. }));
         // A full slice smaller than the request goes into debt: else small quotas get nothing in silence.
         let fits = a.slice >= units.min(most);
@@ -557,10 +558,9 @@
         let (current, whose, took) = (a.series == call.series, (name.customer, call.series), now - call.sent);
         let quick = &mut self.store.quick;
         *quick = if *quick > 0.0 { (*quick * (1.0 + DRIFT)).min(took) } else { took };
-        let regained = p.rate * (now - f64::from(call.series) * WINDOW).max(0.0);
+        let regained = a.rate * (now - f64::from(call.series) * WINDOW).max(0.0);
         let before = total - call.add;
-        // What the count must have stood at: at least what the store regained; and, where it is new or was
-        // forgotten, what we last saw.
+        // It must have stood at what the store regained at least; new or forgotten, at what we last saw.
         let (lost, small) = (before < WORTH, p.burst * SPILL);
         let level = regained.max(a.seen.filter(|_| current && lost).unwrap_or(0.0));
         let lag = (level - before - call.paid).max(0.0);
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -93,8 +93,8 @@
 /// An operation, as clients name it.
 pub struct Offered {
     pub name: String,
-    /// It may be repeated freely.
-    pub idempotent: bool,
+    pub effect: Effect,
+    pub latency_objective: f64,
     /// The longest that a client waits.
     pub timeout: f64,
 }
@@ -102,6 +102,9 @@
 pub struct About {
     pub doors: usize,
     pub slot: usize,
+    /// Deliveries of one invocation at the most, and whether two of them may be out at once.
+    pub attempts: usize,
+    pub second_copies: bool,
     pub operations: Vec<Offered>,
     pub plans: Vec<String>,
     /// The most units of one invocation.
@@ -153,8 +156,9 @@
     Ok(Operation { latency_objective: c.aim_us / 1e6, effect })
 }
 
-fn offered(c: Class) -> Offered {
-    Offered { idempotent: c.idempotency == "retryable", timeout: c.give_up_us / 1e6, name: c.name }
+fn offered((c, o): (Class, Operation)) -> Offered {
+    let Operation { latency_objective, effect } = o;
+    Offered { name: c.name, effect, latency_objective, timeout: c.give_up_us / 1e6 }
 }
 
 pub fn start(seed: u64, json: &[u8]) -> Result<Start, String> {
@@ -208,12 +212,15 @@
     let counter = told.extra.counter.then_some(limits);
     let hears = if told.caps.peers { told.extra.peer_intake } else { 0.0 };
     let doors = told.balancers.max(1);
-    let door = Door::new((seed, doors as f64, hears, asks), (operations, plans), (rules, may), counter);
+    let door =
+        Door::new((seed, doors as f64, hears, asks), (operations.clone(), plans), (rules, may), counter);
     let about = About {
         doors,
         slot: told.slot_no,
         longest_timeout: told.classes.iter().map(|c| c.give_up_us / 1e6).fold(0.0, f64::max),
-        operations: told.classes.into_iter().map(offered).collect(),
+        attempts: told.caps.max_attempts,
+        second_copies: told.caps.second_copies,
+        operations: told.classes.into_iter().zip(operations).map(offered).collect(),
         most_units: told.extra.max_units.unwrap_or(f64::INFINITY),
         plans: told.tariffs.into_iter().map(|t| t.name).collect(),
         zones: told.zones,
--- a/src/state.rs
+++ b/src/state.rs
@@ -107,6 +107,7 @@
 #[derive(Default)]
 pub struct Account {
     pub plan: usize,
+    pub rate: f64, // that the count regains: less while some of the customer's front doors don't reach it
     pub doors: f64,
     pub of: Doors,
     pub told: f64,
--- a/src/types.rs
+++ b/src/types.rs
@@ -69,6 +69,32 @@
     pub number: usize,
 }
 
+/// What an operator has declared for an invocation. Each narrows what the settings allow, and none can widen it. Seconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Declared {
+    /// Deliveries, the first one included.
+    pub attempts: usize,
+    pub second_copies: bool,
+    /// An idempotent delivery out for longer is doubted, whatever its backend does.
+    pub per_try: f64,
+    pub objective: f64,
+    /// What may have run is repeated within this of its first delivery, as far as it may be at all.
+    pub repeat_within: f64,
+}
+
+impl Default for Declared {
+    fn default() -> Declared {
+        let never = f64::INFINITY;
+        Declared {
+            attempts: usize::MAX,
+            second_copies: true,
+            per_try: never,
+            objective: never,
+            repeat_within: never,
+        }
+    }
+}
+
 /// What an invocation says of itself.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Ask {
@@ -79,6 +105,9 @@
     pub of: Doors,
     /// When the client gives this try up.
     pub until: f64,
+    /// The part of the customer's front doors that the counter does not hear of, as far as that is known.
+    pub absent: f64,
+    pub declared: Declared,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -70,7 +70,7 @@
     d.check(expect![[r#"
         30.000 0 comes: not yet; count 1: +1.00
         30.040 0: to 0
-        30.100 1 comes: not yet; count 1: +1.94
+        30.100 1 comes: not yet; count 1: +2.00
         30.140 1: to 2
         30.200 2 comes: not yet; count 1: +2.00
         30.240 2: to 3; log: counter silent: 5 calls missed in 0.24 s; even slices
@@ -110,7 +110,7 @@
     d.check(expect![[r#"
         30.000 0 comes: not yet; count 1: +6.00
         30.030 0: to 0
-        30.100 1 comes: not yet; count 1: +6.93
+        30.100 1 comes: not yet; count 1: +7.00
         30.130 1: to 2"#]]);
 }
 
@@ -585,7 +585,7 @@
     d.check(expect![[r#"
         40.000 10 comes: to 0; count 1: +0.00
         40.010 log: counter answers again after 10.01 s; leases resume
-        40.300 11 comes: not yet; count 1: +1.75"#]]);
+        40.300 11 comes: not yet; count 1: +2.05"#]]);
 }
 
 /// A list call that failed was never made again.
@@ -809,3 +809,84 @@
         assert!(d.told().contains(&format!("{inv}: throttled")), "{inv} is lost");
     }
 }
+
+/// What operators declare narrows: each limit is met where without it another delivery would go out.
+#[test]
+fn declared_attempts_are_all_there_are() {
+    for (attempts, tried) in [(1, 1), (2, 2), (usize::MAX, 5)] {
+        let mut d = idempotent(8);
+        d.counts.insert(1, 0.0);
+        d.comes_declared(30.0, Declared { attempts, ..Declared::default() });
+        d.counter(30.001);
+        for i in 0..tried {
+            d.ends(30.01 + 0.01 * i as f64, 0, i, TurnedAway, 0.005);
+        }
+        let said = d.told();
+        assert_eq!(said.matches("to ").count(), tried, "{attempts}: {said}");
+        assert!(said.ends_with("throttled, 1.00 s"), "{attempts}: {said}");
+    }
+}
+
+#[test]
+fn a_delivery_past_its_declared_time_is_given_up_for_another() {
+    let copies = |declared: Declared, may: Deliveries| {
+        let mut d = desk(vec![operation(Effect::Idempotent)], vec![plan()], may, 4);
+        d.comes_declared(30.0, declared);
+        d.counter(30.001);
+        for i in 1..=8 {
+            d.wait(30.0 + 0.02 * f64::from(i));
+        }
+        d.told()
+    };
+    let per_try = Declared { per_try: 0.05, attempts: 2, ..Declared::default() };
+    let once = |said: String| (said.matches("to ").count(), said.matches("cancel").count());
+    // The usual doubt comes much later: the delivery's high answer time is a quarter of the objective at first.
+    assert_eq!(once(copies(Declared::default(), may())), (1, 0));
+    assert_eq!(once(copies(per_try, Deliveries { second_copies: true, ..may() })).0, 2);
+    // Without a second copy it is called off, whoever forbids the copy.
+    let none = Declared { second_copies: false, ..per_try };
+    let called_off = once(copies(none, Deliveries { second_copies: true, cancels: true, ..may() }));
+    assert_eq!(
+        called_off,
+        once(copies(per_try, Deliveries { second_copies: false, cancels: true, ..may() }))
+    );
+    assert_eq!(called_off, (1, 1));
+}
+
+/// Non-idempotent: whatever is declared, a delivery that may have run is the last.
+#[test]
+fn no_declaration_makes_a_second_delivery_of_what_may_have_run() {
+    let mut d = of_effect(Effect::NonIdempotent, 4);
+    d.comes_declared(30.0, Declared { attempts: 9, per_try: 0.01, ..Declared::default() });
+    d.counter(30.001);
+    (1..=20).for_each(|i| d.wait(30.0 + 0.05 * f64::from(i)));
+    d.ends(31.2, 0, 0, Broken, 1.2);
+    let said = d.told();
+    assert_eq!(said.matches("to ").count(), 1, "{said}");
+    assert!(said.ends_with("error"), "{said}");
+}
+
+#[test]
+fn a_declared_window_is_within_the_tokens() {
+    let tokened = Effect::Tokened { group: Group::All, window: 1.5 };
+    let after = |within: f64, at: f64| {
+        let mut d = of_effect(tokened, 4);
+        d.comes_declared(30.0, Declared { repeat_within: within, ..Declared::default() });
+        d.counter(30.001);
+        d.ends(at, 0, 0, Broken, at - 30.0);
+        d.told().matches("to ").count()
+    };
+    assert_eq!((after(f64::INFINITY, 30.2), after(0.1, 30.2), after(0.1, 30.05)), (2, 1, 2));
+}
+
+#[test]
+fn a_declared_objective_ends_repeats_sooner() {
+    let after = |objective: f64| {
+        let mut d = idempotent(4);
+        d.comes_declared(30.0, Declared { objective, ..Declared::default() });
+        d.counter(30.001);
+        d.ends(30.1, 0, 0, Broken, 0.1);
+        d.told().matches("to ").count()
+    };
+    assert_eq!((after(f64::INFINITY), after(0.05)), (2, 1));
+}
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -87,6 +87,10 @@
         self.asked(now, Ask { customer, plan, units: 1.0, ..Ask::default() })
     }
 
+    pub fn comes_declared(&mut self, now: f64, declared: Declared) -> Inv {
+        self.asked(now, Ask { units: 1.0, declared, ..Ask::default() })
+    }
+
     pub fn comes_until(&mut self, now: f64, until: f64) -> Inv {
         self.asked(now, Ask { units: 1.0, until, ..Ask::default() })
     }
