--- a/counter/examples/measure.rs
+++ b/counter/examples/measure.rs
@@ -38,10 +38,14 @@
     let (mut done, mut took) = (0, vec![]);
     while Instant::now() < until {
         let began = Instant::now();
-        to.write_all(calls.as_bytes()).expect("it reads");
+        if to.write_all(calls.as_bytes()).is_err() {
+            break; // calls that took too long ended the connection: what was answered counts
+        }
         for _ in 0..pipelined {
             let (mut line, mut length) = (String::new(), 0);
-            from.read_line(&mut line).expect("an answer");
+            if from.read_line(&mut line).unwrap_or(0) == 0 {
+                return (done, took);
+            }
             done += u64::from(line.contains("200"));
             while line.trim() != "" {
                 line.clear();
--- a/counter/src/member.rs
+++ b/counter/src/member.rs
@@ -281,8 +281,10 @@
                     Some(index) => {
                         let known = matched.entry(from).or_default();
                         *known = (*known).max(index);
-                        next.insert(from, *known + 1);
-                        let more = *known < self.last().0;
+                        // What is on its way already is not sent again.
+                        let after = next.entry(from).or_insert(1);
+                        *after = (*after).max(*known + 1);
+                        let more = *after <= self.last().0;
                         self.agrees(out);
                         if more {
                             self.append_to(from, out);
--- a/counter/tests/agreement.rs
+++ b/counter/tests/agreement.rs
@@ -267,3 +267,31 @@
         assert!((0..200).any(|seed| walk(flaw, seed).0.is_some()), "{flaw:?}");
     }
 }
+
+/// Guards: each answer of a follower set the leader back to what that answer covered, and all that was on its way was sent once more: with
+/// hundreds of calls out, two members took 2,400 calls a second and three let them pass their time.
+#[test]
+fn what_is_on_its_way_is_not_sent_again() {
+    let ids = [1, 2, 3];
+    let new = |id| Member::new(id, &ids, Vow::default(), (0, 0), vec![]);
+    let (mut leader, mut other) = (new(1), new(2));
+    let mut out = Out::default();
+    leader.times_out(&mut out);
+    leader.hears(2, Message::Vote { term: 1, granted: true }, &mut out);
+    for command in 0..20u8 {
+        leader.proposes(command, &mut out);
+        leader.spreads(&mut out);
+    }
+    // Whatever the leader has sent reaches the follower, whose answers reach the leader, until nothing is left.
+    let mut sent = 0;
+    let mut on_the_way: std::collections::VecDeque<_> = out.send.into();
+    while let Some((to, message)) = on_the_way.pop_front() {
+        let (Message::Append { entries, .. }, 2) = (&message, to) else { continue };
+        sent += entries.len();
+        let (mut said, mut more) = (Out::default(), Out::default());
+        other.hears(1, message, &mut said);
+        said.send.into_iter().for_each(|(_, answer)| leader.hears(2, answer, &mut more));
+        on_the_way.extend(more.send);
+    }
+    assert_eq!((sent, other.last(), leader.commit), (21, (21, 1), 21));
+}
