One reading of names with a star, a check of sizes without a made-up variant, no dead calls

Need: found on reading the change again. Names and beginnings of names with a star were matched in operator/routes.rs and once more in broker/contract.rs: contracts and routes call contract::takes. The load tool built a variant of eleven fields to check the experiment's own size; the check takes an experiment now. The wait while a budget's call is out stood there twice as a number: SOON. Log::disk and Member::entries were called by nobody.

Behaviour as before. Left: three programs begin with the same lines of clap, which say how each is called.

--- a/broker/src/budget.rs
+++ b/broker/src/budget.rs
@@ -4,6 +4,8 @@
 
 /// The part of a budget that one lease takes, of what a front door's even share of it is.
 const PART: f64 = 1.0 / 16.0;
+/// While a call is on its way an invocation may come again after this, seconds.
+const SOON: f64 = 0.05;
 /// A period's count lives for so many periods.
 pub const LIVES: f64 = 1.5;
 /// A lease that was not answered for so long is given up, seconds; and not asked for again for so long.
@@ -76,14 +78,14 @@
         }
         if let Some((since, ..)) = self.out {
             if now - since <= PATIENCE {
-                return (Says::Soon(0.05), None);
+                return (Says::Soon(SOON), None);
             }
             self.out = None; // it may have been added: what it leased is lost to this front door, not granted twice
             self.again = now + PATIENCE;
         }
         if now >= self.again {
             let call = self.calls(now, budget, doors, units);
-            return (Says::Soon(0.05), call);
+            return (Says::Soon(SOON), call);
         }
         // In silence: an even slice of what is left as far as was heard.
         let slice = (budget.units - self.total).max(0.0) / doors as f64;
--- a/broker/src/contract.rs
+++ b/broker/src/contract.rs
@@ -43,7 +43,7 @@
     }
 
     pub fn allows(&self, operation: &str) -> bool {
-        self.operations.is_empty() || self.operations.iter().any(|o| fits(o, operation))
+        takes(&self.operations, operation)
     }
 
     /// The limit on one operation, where there is one.
@@ -56,6 +56,11 @@
     wanted.strip_suffix('*').map_or(wanted == name, |from| name.starts_with(from))
 }
 
+/// Whether a list of names, or of beginnings of names with a star, takes this one. An empty list takes all.
+pub fn takes(list: &[String], name: &str) -> bool {
+    list.is_empty() || list.iter().any(|wanted| fits(wanted, name))
+}
+
 /// Something that contracts say of each other and that can't be.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Wrong {
--- a/counter/src/log.rs
+++ b/counter/src/log.rs
@@ -273,10 +273,6 @@
         Ok(())
     }
 
-    pub fn disk(&self) -> &D {
-        &self.disk
-    }
-
     pub fn into_disk(self) -> D {
         self.disk
     }
--- a/counter/src/member.rs
+++ b/counter/src/member.rs
@@ -153,10 +153,6 @@
         &self.entries[from..]
     }
 
-    pub fn entries(&self) -> &[Entry<C>] {
-        &self.entries
-    }
-
     fn term_at(&self, index: u64) -> Option<u64> {
         if index == self.base.0 {
             return Some(self.base.1);
--- a/load/src/experiment.rs
+++ b/load/src/experiment.rs
@@ -157,19 +157,8 @@
         must(self.world.backends <= 64 && self.world.backends > 0, "world.backends: expected 1 to 64");
         must(self.world.zones > 0, "world.zones: expected 1 or more");
         must(self.world.customers > 0, "world.customers: expected 1 or more");
-        let plain = Variant {
-            name: String::new(),
-            program: None,
-            operator: None,
-            environment: BTreeMap::new(),
-            slowed: 1.0,
-            doors: None,
-            connections: None,
-            idle: None,
-            spared: false,
-        };
-        let sizes = |of: &Variant, at: &str, must: &mut dyn FnMut(bool, &str)| {
-            let Experiment { world, traffic, .. } = self.of(of);
+        let sizes = |of: &Experiment, at: &str, must: &mut dyn FnMut(bool, &str)| {
+            let Experiment { world, traffic, .. } = of;
             let (doors, held) = (world.doors, traffic.connections + traffic.idle);
             must(
                 (1..=DOORS).contains(&doors),
@@ -189,7 +178,7 @@
                 ),
             );
         };
-        sizes(&plain, "", &mut must);
+        sizes(self, "", &mut must);
         for (i, v) in self.variants.iter().enumerate() {
             let again = self.variants[..i].iter().any(|o| o.name == v.name);
             must(!v.name.is_empty() && !again, &format!("variant {}: expected a name of its own", i + 1));
@@ -198,7 +187,7 @@
                 &format!("variant {}: slowed: expected 1 or more", i + 1),
             );
             if v.doors.or(v.connections).or(v.idle).is_some() {
-                sizes(v, &format!("variant {}: ", i + 1), &mut must);
+                sizes(&self.of(v), &format!("variant {}: ", i + 1), &mut must);
             }
         }
         for (i, f) in self.faults.iter().enumerate() {
--- a/operator/src/broker.rs
+++ b/operator/src/broker.rs
@@ -1,8 +1,8 @@
 //! The sections on the broker: its capacity, and the contracts.
 use crate::reading::{Reading, Section};
-use crate::routes::{takes, Platform};
+use crate::routes::Platform;
 use quillramp_broker::budget::LIVES;
-use quillramp_broker::contract::{Budget, Contract, Contracts, Expected, Wrong};
+use quillramp_broker::contract::{takes, Budget, Contract, Contracts, Expected, Wrong};
 use std::collections::BTreeSet;
 
 /// What the platform's counter lets a name live, seconds.
--- a/operator/src/routes.rs
+++ b/operator/src/routes.rs
@@ -2,6 +2,7 @@
 //! A class can only narrow. Nothing here decides about an invocation; `quillramp::decide` is given what is declared.
 use crate::reading::{At, Reading, Section};
 use quillramp::types::{Declared, Effect, Group};
+use quillramp_broker::contract::takes;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
 
@@ -208,13 +209,6 @@
     Some(Route { line: s.line, operations: names(operations), plans: names(plans), customers: ids, class })
 }
 
-/// Whether a list of names, or of beginnings of names with a star, takes this one. An empty list takes all.
-pub fn takes(list: &[String], name: &str) -> bool {
-    let fits =
-        |wanted: &String| wanted.strip_suffix('*').map_or(wanted == name, |from| name.starts_with(from));
-    list.is_empty() || list.iter().any(fits)
-}
-
 /// All that `later` takes, `earlier` takes before it.
 fn covers(earlier: &Route, later: &Route) -> bool {
     let names = |a: &[String], b: &[String]| {
--- a/operator/src/show.rs
+++ b/operator/src/show.rs
@@ -1,7 +1,8 @@
 //! What holds once a file is taken up, and where each value came from: for people.
-use crate::routes::{takes, Class, Operation, Platform, Route};
+use crate::routes::{Class, Operation, Platform, Route};
 use crate::Operator;
 use quillramp::types::{Effect, Group};
+use quillramp_broker::contract::takes;
 use std::fmt::Write;
 
 /// All that a file sets, and by operation what holds; without a platform only the former.
