What may be out at all backends follows the starts and drains that the list tells

A front door restarted into it began with the limit of a warm fleet. Harmless in one, harmful in all: 100 front doors each a few units too many. Lines: pick() in src/decide.rs, and listed(), where the first limit counts cold backends as whole.

Change: the limit is multiplied by what the listed backends that take new work can do by now (sizes times their shares since their start, as the settings tell) over the sizes of all listed.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,6 +1,6 @@
-//! All decisions of one front door. Interface: `types.rs`; what it remembers: `state.rs`. The caller tells
-//! facts (by what returns nothing) and asks three: `place` (where this invocation goes, or not yet, or
-//! never), `after` (what now, after this outcome), `wait` (when to look next, at whom). Errands go with each.
+//! All decisions of one front door. Interface: `types.rs`; what it remembers: `state.rs`. Facts enter by what
+//! returns nothing, and three are asked: `place` (where this invocation goes, or not yet, or never), `after` (what
+//! now, after this outcome), `wait` (when to look next, at whom). Errands go with each.
 //! Quota: a customer's count on the counter service holds the units taken since its window began. The store
 //! it stands for regains `rate` a second, so the allowance is the burst plus that, and a count that lags
 //! behind what the store regained is lifted to it (a full store spills); so is a forgotten or a new count.
@@ -125,9 +125,7 @@
             let first = (LIMIT.0 * entries.len() as f64 / self.doors).max(1.0); // the first sign of time
             (self.all.limit, self.store.heard, self.store.paced) = (first, now, now);
         }
-        if whole {
-            self.backends.values_mut().for_each(|b| b.is.standing = Standing::Gone);
-        }
+        self.backends.values_mut().filter(|_| whole).for_each(|b| b.is.standing = Standing::Gone);
         for &is in entries {
             let b = self.backends.entry(is.tgt).or_insert_with(|| Backend::new(now, is, self.hard.len()));
             let same = b.is.started == is.started;
@@ -682,15 +680,18 @@
         let slow = self.times[ask.operation].half > SLOWED * self.times[ask.operation].base;
         let counts = |b: &&Backend| b.aside.is_none() && (slow || !self.quiet(now, b, high));
         let all_out: f64 = ready().filter(counts).map(|b| b.owes).sum();
-        self.all.near = all_out * 2.0 > self.all.limit;
-        if all_out >= self.all.limit.max(ready().count() as f64 / self.doors).max(1.0) {
+        // What the list tells of starts and drains lowers it at once: answers tell it when it is too late.
+        let listed = self.backends.values().filter(|b| b.is.standing != Standing::Gone).map(|b| b.is.size);
+        let can: f64 = ready().map(|b| b.is.size * self.share(now, b)).sum();
+        let limit = self.all.limit * can / listed.sum::<f64>().max(can);
+        self.all.near = all_out * 2.0 > limit;
+        if all_out >= limit.max(ready().count() as f64 / self.doors).max(1.0) {
             self.all.full = now;
             return None; // answers slow down all over: no more out than come back in time
         }
         let (mut good, mut poor, mut pressed) = (vec![], vec![], false);
         for b in ready() {
-            // Cold: an invocation may go there with a chance that is its share of a warm one's capacity. All
-            // doors doing so, it gets that share of a warm one's load, which is under what it can do.
+            // Cold: open to its share of the invocations. All doors doing so, that is under what it can do.
             if self.share(now, b) < luck {
                 continue;
             }
@@ -758,7 +759,6 @@
         if o.ending == Ending::NotSent || left && o.ending == Ending::Cancelled && o.took < *high * units {
             return; // a client that left early says nothing of the backend
         }
-        // What it says of the connection, of the operation there, of the plan there.
         let says = match o.ending {
             Ending::Succeeded => [Some(true); 3],
             Ending::NotConnected => [Some(false), None, None],
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -740,6 +740,24 @@
     expect!["[20, 20, 20, 20, 20, 20, 20, 20]"].assert_eq(&varied);
 }
 
+/// A release left a fleet mostly cold. All doors went on with what a warm one bears out at once until slow answers,
+/// some a second each, had taken it down: by then the release was over, and the fleet refused what it could do.
+#[test]
+fn what_the_list_tells_of_starts_and_drains_lowers_what_may_be_out() {
+    let sent = |started: Option<f64>, standing: Standing| {
+        let mut d = desk_among(200.0, vec![operation(Effect::NonIdempotent)], vec![plan()], may(), 400);
+        let changed: Vec<Listed> = (0..300).map(|t| Listed { started, standing, ..listed(t) }).collect();
+        d.door.listed(30.0, false, &changed);
+        for i in 0..60 {
+            d.comes_of(30.0, i, 1.0);
+        }
+        d.counter(30.0);
+        d.take_sent().len()
+    };
+    let all = [(None, Standing::Ready), (Some(29.0), Standing::Ready), (None, Standing::Draining)];
+    expect!["[20, 10, 5]"].assert_eq(&format!("{:?}", all.map(|(started, standing)| sent(started, standing))));
+}
+
 fn sent_by_rounds(took: f64) -> String {
     let mut d = desk_among(200.0, vec![operation(Effect::NonIdempotent)], vec![plan()], may(), 400);
     let mut out = vec![];
