Short of room, what is billed less for its work goes without first

Which operation goes without was never decided; settings tell the billed value (classes[].gain), which was passed over, and the front door knows each operation's work by its least median.

Change: an operation fills the limit only as far as its billed value for its work goes against the dearest's; no constant. Where none is told (or all are alike) nothing changes. The limit grows by use, so use is told against the operation's own part.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,6 +1,6 @@
 //! All decisions of one front door. Interface: `types.rs`; what it remembers: `state.rs`. Facts enter by what
-//! returns nothing, and three are asked: `place` (where this invocation goes, or not yet, or never), `after` (what
-//! now, after this outcome), `wait` (when to look next, at whom). Errands go with each.
+//! returns nothing, and three are asked: `place` (where this invocation goes, or not yet, or never), `after`
+//! (what now, after this outcome), `wait` (when to look next, at whom). Errands go with each.
 //! Quota: a customer's count on the counter service holds the units taken since its window began. The store
 //! it stands for regains `rate` a second, so the allowance is the burst plus that, and a count that lags
 //! behind what the store regained is lifted to it (a full store spills); so is a forgotten or a new count.
@@ -61,8 +61,7 @@
 }
 
 impl Store {
-    /// It is not asked: it is silent, or was waited for, or, unless it is being asked already, calls run
-    /// short: a crowded one serves those first that can't do without (`spares`: this one could).
+    /// It is not asked: silent, waited for, or short of calls (sooner for what could do without: `spares`).
     fn passes(&self, waited: bool, asked: bool, spares: bool) -> bool {
         let least = if spares { (self.pace * PACE_SPAN.0 / 2.0).max(1.0) } else { 1.0 };
         self.silent || waited || !asked && self.calls < least
@@ -105,7 +104,6 @@
         let times = operations.iter().map(|o| Times::first(o.latency_objective / 4.0)).collect();
         let (rng, woke) = (Some(ChaCha8Rng::seed_from_u64(seed)), f64::INFINITY);
         let (repeats, pace, words) = (REPEATS.1 / 2.0, PACE.1 / doors, Words { hears, ..Words::default() });
-        // Where there is no counter, it is silent for good.
         let (timeout, calls) = (counter.map_or(0.0, |c| c.timeout), pace * PACE_SPAN.0);
         let store = Store { pace, calls, timeout, silent: counter.is_none(), asked: 1.0, ..Store::default() };
         let hard = vec![0.0; 1 + operations.len() + plans.len()];
@@ -278,7 +276,7 @@
         }
         let v = &self.invs[&inv];
         let (ask, says, came, luck) = (v.ask, v.ask.declared, v.came, v.luck);
-        let Operation { latency_objective, effect } = self.operations[ask.operation];
+        let Operation { latency_objective, effect, .. } = self.operations[ask.operation];
         let (objective, most) = (latency_objective.min(says.objective), self.may.most.min(says.attempts));
         let (out, tries, left) = (v.out(), v.deliveries.len(), ask.until - now);
         let (units, high) = (ask.units.max(1.0), self.times[ask.operation].high * ask.units.max(1.0));
@@ -397,8 +395,8 @@
         let (even, most) = (p.rate / doors, p.burst / doors);
         a.rate = p.rate * (1.0 - absent); // those whom the count does not reach have their even slices of it
         a.slice = (a.slice + even * (now - a.used)).min(most);
-        // The count vouches for what is leased. The rest is held under a ceiling by an even share of a part of
-        // what that leaves above the quota (all of it: 99% of the rule), empty at start: a restart fills nothing.
+        // The count vouches for what is leased. The rest is held under a ceiling by an even share of a part
+        // of what that leaves above the quota (all: 99% of the rule), empty at start: a restart fills nothing.
         let part = |all: f64| ABOVE * all / doors;
         let (above, room) = (part(p.ceiling_rate - p.rate), part(p.ceiling_burst - p.burst));
         a.ceiling = (a.ceiling + above * (now - a.used)).min(room);
@@ -464,8 +462,7 @@
         Some(Verdict::NotYet)
     }
 
-    /// The word of a cap on deliveries out at once: a place is leased on a count of its own, and goes back
-    /// when the invocation has none out; none is yes. What a dead door held is forgotten with the count.
+    /// The word of a cap on deliveries out at once: a place is leased on a count of its own; none is yes.
     fn place_of(&mut self, now: f64, inv: Inv) -> Option<Verdict> {
         let v = self.invs.get_mut(&inv).expect("held");
         v.paid = true;
@@ -674,7 +671,7 @@
         let kin = kin.and_then(|(g, t)| self.backends.get(&t).map(|b| (g, key(b, g))));
         let ready =
             || self.backends.values().filter(|b| b.ready() && kin.is_none_or(|(g, k)| key(b, g) == k));
-        let Operation { latency_objective, effect } = self.operations[ask.operation];
+        let Operation { latency_objective, effect, .. } = self.operations[ask.operation];
         let (high, span) = (self.times[ask.operation].high, PRESSED * latency_objective);
         // Where answers come as fast as ever, what says nothing hangs; else it may be slow.
         let slow = self.times[ask.operation].half > SLOWED * self.times[ask.operation].base;
@@ -684,6 +681,10 @@
         let listed = self.backends.values().filter(|b| b.is.standing != Standing::Gone).map(|b| b.is.size);
         let can: f64 = ready().map(|b| b.is.size * self.share(now, b)).sum();
         let limit = self.all.limit * can / listed.sum::<f64>().max(can);
+        // An operation may fill of it what it is billed for its work against the dearest: that goes first.
+        let worth = |op: usize| self.operations[op].billed / self.times[op].base;
+        let dearest = (0..self.operations.len()).map(worth).fold(0.0, f64::max);
+        let limit = limit * (worth(ask.operation) / dearest).min(1.0); // all of it where no value is told
         self.all.near = all_out * 2.0 > limit;
         if all_out >= limit.max(ready().count() as f64 / self.doors).max(1.0) {
             self.all.full = now;
@@ -786,7 +787,6 @@
                 (b.good_at, b.quiet_since, b.fails) = (now, now, 0);
                 if b.aside.take().is_some() {
                     self.errands.log.push(format!("backend {} back: answered in {:.3} s", o.tgt, o.took));
-                    // Peers hear it from the first that finds out.
                     if now > b.praised + WORDS {
                         b.praised = now;
                         self.tell(now, Word::Backend { tgt: o.tgt }, self.doors);
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -39,6 +39,8 @@
 #[derive(Deserialize)]
 struct Class {
     aim_us: f64,
+    #[serde(default)]
+    gain: f64,
     give_up_us: f64,
     group: String,
     idempotency: String,
@@ -153,11 +155,11 @@
         "fragile" => Effect::NonIdempotent,
         other => return Err(format!("classes[{i}].idempotency: unknown value '{other}'")),
     };
-    Ok(Operation { latency_objective: c.aim_us / 1e6, effect })
+    Ok(Operation { latency_objective: c.aim_us / 1e6, effect, billed: c.gain })
 }
 
 fn offered((c, o): (Class, Operation)) -> Offered {
-    let Operation { latency_objective, effect } = o;
+    let Operation { latency_objective, effect, .. } = o;
     Offered { name: c.name, effect, latency_objective, timeout: c.give_up_us / 1e6 }
 }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -24,6 +24,8 @@
 pub struct Operation {
     pub latency_objective: f64,
     pub effect: Effect,
+    /// Its billed value; 0 where none is told.
+    pub billed: f64,
 }
 
 #[derive(Clone, Debug)]
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -755,7 +755,26 @@
         d.take_sent().len()
     };
     let all = [(None, Standing::Ready), (Some(29.0), Standing::Ready), (None, Standing::Draining)];
-    expect!["[20, 10, 5]"].assert_eq(&format!("{:?}", all.map(|(started, standing)| sent(started, standing))));
+    expect!["[20, 10, 5]"]
+        .assert_eq(&format!("{:?}", all.map(|(started, standing)| sent(started, standing))));
+}
+
+/// When room ran short a cheap operation took it as readily as one billed five times as much: the room went to waste.
+#[test]
+fn what_is_billed_less_for_its_work_fills_less_of_what_may_be_out() {
+    let sent = |cheap: f64| {
+        let operations = [cheap, 5.0].map(|billed| Operation { billed, ..operation(Effect::NonIdempotent) });
+        let mut d = desk_among(200.0, operations.to_vec(), vec![plan()], may(), 400);
+        for (operation, from) in [(0, 0), (1, 40)] {
+            for i in from..from + 40 {
+                d.comes_for(30.0, i, operation);
+            }
+        }
+        d.counter(30.0);
+        let (dear, cheap): (Vec<Inv>, Vec<Inv>) = d.take_sent().into_iter().partition(|i| *i >= 40);
+        (cheap.len(), dear.len())
+    };
+    expect!["[(4, 16), (8, 12), (20, 0)]"].assert_eq(&format!("{:?}", [1.0, 2.0, 5.0].map(sent)));
 }
 
 fn sent_by_rounds(took: f64) -> String {
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -17,7 +17,7 @@
 }
 
 pub fn operation(effect: Effect) -> Operation {
-    Operation { latency_objective: 1.0, effect }
+    Operation { latency_objective: 1.0, effect, billed: 1.0 }
 }
 
 pub fn plan() -> Plan {
@@ -83,6 +83,10 @@
         self.asked(now, Ask { customer, units, ..Ask::default() })
     }
 
+    pub fn comes_for(&mut self, now: f64, customer: Customer, operation: usize) -> Inv {
+        self.asked(now, Ask { customer, operation, units: 1.0, ..Ask::default() })
+    }
+
     pub fn comes_under(&mut self, now: f64, customer: Customer, plan: usize) -> Inv {
         self.asked(now, Ask { customer, plan, units: 1.0, ..Ask::default() })
     }
