--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -7,6 +7,7 @@
 mod declared;
 mod discovery;
 pub mod door;
+pub mod fleets;
 pub mod growth;
 mod net;
 pub mod play;
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -1,6 +1,7 @@
 //! quillramp-emulator: plays runs, replays and shrinks those that break a rule, and sweeps over seeds.
 use clap::{Parser, Subcommand};
 use quillramp_emulator::door::Sabotage;
+use quillramp_emulator::fleets::{self, Day};
 use quillramp_emulator::growth::{self, Grown};
 use quillramp_emulator::play::{play, Report};
 use quillramp_emulator::quotas::{self, Found, Ill};
@@ -108,6 +109,21 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// Play days of about a hundred front doors: a herd, a zone lost, most backends replaced.
+    Fleets {
+        #[arg(long, value_enum, value_delimiter = ',', default_values_t = [Day::Herd, Day::Zone, Day::Join])]
+        day: Vec<Day>,
+        #[arg(long, default_value_t = 0)]
+        from: u64,
+        /// How many seeds of each.
+        #[arg(long, default_value_t = 20)]
+        runs: u64,
+        #[arg(long, default_value_t = threads())]
+        threads: usize,
+        /// Print the script of the first seed of the first day in place of playing it.
+        #[arg(long)]
+        draw: bool,
+    },
     /// Check scripts without playing them.
     Check { scripts: Vec<PathBuf> },
     /// The kinds of faults that a script may name.
@@ -288,6 +304,17 @@
             let bad = |f: &&Found| f.report.breach.is_some() || f.presence > 0.0 && f.overshoot > f.bound;
             Ok(found.iter().find(bad).map_or(ExitCode::SUCCESS, |f| told(&f.report, 0)))
         }
+        What::Fleets { day, from, draw: true, .. } => {
+            say(&fleets::script(day[0], from).write());
+            Ok(ExitCode::SUCCESS)
+        }
+        What::Fleets { day, from, runs, threads, .. } => {
+            let found = fleets::sweep(&day, from..from.saturating_add(runs), threads);
+            say(&fleets::table(&found));
+            let broken: Vec<_> = found.iter().filter(|f| f.1.breach.is_some()).collect();
+            broken.iter().for_each(|(day, r)| say(&format!("rule broken: {}, seed {}", day.name(), r.seed)));
+            Ok(broken.first().map_or(ExitCode::SUCCESS, |f| told(&f.1, 0)))
+        }
         What::Kinds => {
             kinds();
             Ok(ExitCode::SUCCESS)
--- a/emulator/tests/emulator.rs
+++ b/emulator/tests/emulator.rs
@@ -5,7 +5,7 @@
 use quillramp_emulator::quotas::{look, Ill};
 use quillramp_emulator::rules::Rule;
 use quillramp_emulator::script::{Kind, Script};
-use quillramp_emulator::{growth, results, shrink, sweep};
+use quillramp_emulator::{fleets, growth, results, shrink, sweep};
 use std::path::Path;
 
 const THREADS: usize = 8;
@@ -36,6 +36,23 @@
     reports.into_iter().filter_map(|r| r.breach.map(|b| b.rule)).collect()
 }
 
+/// About a hundred front doors, struck together: what each does alone must not break a rule when all do it.
+#[test]
+fn days_of_a_hundred_front_doors_break_no_rule() {
+    let days = [fleets::Day::Herd, fleets::Day::Zone, fleets::Day::Join];
+    let all = fleets::sweep(&days, 0..2, THREADS);
+    for (day, report) in &all {
+        holds(&day.name(), report);
+        let (all, met) = (report.met.invocations, &report.met);
+        assert!(all > 3000 && met.cold > 0 && met.succeeded * 3 > all, "{}: {met:?}", day.name());
+    }
+    assert_eq!(all.len(), 6);
+    for day in days {
+        let script = fleets::script(day, 1);
+        assert_eq!(Script::read(&script.write()).expect("a good script"), script);
+    }
+}
+
 #[test]
 fn a_front_door_that_swallows_or_doubles_answers_is_found() {
     for sabotage in [Sabotage::SwallowsAnswers, Sabotage::AnswersTwice] {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -679,7 +679,9 @@
     }
     d.comes_among(31.5, 100, 1.0);
     d.counter(31.51);
-    (1..4).for_each(|customer| drop(d.comes_of(31.6, customer, 1.0))); // the calls saved up are spent
+    for customer in 1..4 {
+        d.comes_of(31.6, customer, 1.0); // the calls saved up are spent
+    }
     for units in [8.0, 1.0, 1.0] {
         d.comes_among(31.6, 100, units);
     }
