--- a/src/decide.rs
+++ b/src/decide.rs
@@ -396,7 +396,7 @@
         a.rate = p.rate * (1.0 - absent); // those whom the count does not reach have their even slices of it
         a.slice = (a.slice + even * (now - a.used)).min(most);
         // The count vouches for what is leased. The rest is held under a ceiling by an even share of a part
-        // of what that leaves above the quota (all: 99% of the rule), empty at start: a restart fills nothing.
+        // of what that leaves above the quota (all: 99% of the rule), empty at start: a restart fills none.
         let part = |all: f64| ABOVE * all / doors;
         let (above, room) = (part(p.ceiling_rate - p.rate), part(p.ceiling_burst - p.burst));
         a.ceiling = (a.ceiling + above * (now - a.used)).min(room);
