--- a/emulator/src/fleets.rs
+++ b/emulator/src/fleets.rs
@@ -2,12 +2,12 @@
 //! and harmful when all do it is struck at full size, and every rule is checked after each step.
 use crate::play::{play, Report};
 use crate::script::{Fault, Kind, Script, World};
+use crate::sweep;
 use clap::ValueEnum;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::fmt::Write;
-use std::sync::Mutex;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, ValueEnum)]
 pub enum Day {
@@ -62,10 +62,9 @@
     let mut faults = vec![];
     let mut all: Vec<usize> = (0..backends).collect();
     all.shuffle(&mut r);
-    let (replaced, kept) =
-        all.split_at(backends * if day == Day::Herd { 3 } else { 2 } / if day == Day::Herd { 4 } else { 3 });
     match day {
         Day::Herd => {
+            let replaced = &all[..backends * 3 / 4];
             for (i, &backend) in replaced.iter().enumerate() {
                 let at = 2.0 + 5.0 * i as f64 / replaced.len() as f64;
                 faults.push(Fault {
@@ -93,13 +92,13 @@
             bad(&mut r, &mut faults, 2.5, &elsewhere, backends / 8);
         }
         Day::Join => {
-            for &backend in replaced.iter().take(backends * 6 / 10) {
+            for &backend in &all[..backends * 6 / 10] {
                 let (at, kind) =
                     (r.gen_range(2.0..8.0), if r.gen_bool(0.5) { Kind::Replace } else { Kind::Drain });
                 let lasts = (kind == Kind::Drain).then_some(0.8);
                 faults.push(Fault { backend: Some(backend), ..fault(at, kind, lasts) });
             }
-            bad(&mut r, &mut faults, 3.0, kept, backends / 8);
+            bad(&mut r, &mut faults, 3.0, &all[backends * 2 / 3..], backends / 8);
         }
     }
     faults.sort_by(|a, b| a.at.total_cmp(&b.at));
@@ -108,21 +107,8 @@
 
 /// Plays these days for these seeds, on so many threads; in the order of days and seeds.
 pub fn sweep(days: &[Day], seeds: std::ops::Range<u64>, threads: usize) -> Vec<(Day, Report)> {
-    let tasks: Vec<(Day, u64)> = days.iter().flat_map(|d| seeds.clone().map(|s| (*d, s))).collect();
-    let (next, found) = (Mutex::new(tasks.iter().enumerate()), Mutex::new(vec![]));
-    std::thread::scope(|all| {
-        for _ in 0..threads.max(1) {
-            all.spawn(|| loop {
-                let task = next.lock().unwrap_or_else(|e| e.into_inner()).next();
-                let Some((i, &(day, seed))) = task else { return };
-                let report = play(&script(day, seed), None);
-                found.lock().unwrap_or_else(|e| e.into_inner()).push((i, day, report));
-            });
-        }
-    });
-    let mut found = found.into_inner().unwrap_or_else(|e| e.into_inner());
-    found.sort_by_key(|f| f.0);
-    found.into_iter().map(|(_, day, report)| (day, report)).collect()
+    let tasks = days.iter().flat_map(|d| seeds.clone().map(|s| (*d, s))).collect();
+    sweep::on_threads(tasks, threads, |(day, seed)| (day, play(&script(day, seed), None)))
 }
 
 pub fn table(all: &[(Day, Report)]) -> String {
--- a/emulator/src/growth.rs
+++ b/emulator/src/growth.rs
@@ -2,8 +2,8 @@
 //! quotas hold. Calm, and with half of the front doors killed at once. Its figures are the emulator's, to be compared with each other.
 use crate::play::{play, Report};
 use crate::script::{Fault, Kind, Script, World};
+use crate::sweep;
 use std::fmt::Write;
-use std::sync::Mutex;
 
 /// What a play of one size came to.
 #[derive(Clone, Debug)]
@@ -45,23 +45,14 @@
 
 /// Plays all sizes, calm and with a herd, on so many threads.
 pub fn grow(sizes: &[usize], seed: u64, threads: usize, done: &(dyn Fn(&Grown) + Sync)) -> Vec<Grown> {
-    let tasks = sizes.iter().flat_map(|d| [(*d, false), (*d, true)]);
-    let tasks = Mutex::new(tasks.rev().collect::<Vec<_>>());
-    let found = Mutex::new(vec![]);
-    std::thread::scope(|all| {
-        for _ in 0..threads.max(1) {
-            all.spawn(|| loop {
-                let next = tasks.lock().unwrap_or_else(|e| e.into_inner()).pop();
-                let Some((doors, herd)) = next else { return };
-                let from = std::time::Instant::now();
-                let report = play(&script(doors, herd, seed), None);
-                let grown = Grown { doors, herd, report, took: from.elapsed().as_secs_f64() };
-                done(&grown);
-                found.lock().unwrap_or_else(|e| e.into_inner()).push(grown);
-            });
-        }
+    let tasks = sizes.iter().flat_map(|d| [(*d, false), (*d, true)]).collect();
+    let mut found = sweep::on_threads(tasks, threads, |(doors, herd)| {
+        let from = std::time::Instant::now();
+        let report = play(&script(doors, herd, seed), None);
+        let grown = Grown { doors, herd, report, took: from.elapsed().as_secs_f64() };
+        done(&grown);
+        grown
     });
-    let mut found = found.into_inner().unwrap_or_else(|e| e.into_inner());
     found.sort_by_key(|g| (g.herd, g.doors));
     found
 }
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -98,13 +98,8 @@
         /// Seconds of each run.
         #[arg(long, default_value_t = 60.0)]
         seconds: f64,
-        #[arg(long, default_value_t = 0)]
-        from: u64,
-        /// How many seeds of each.
-        #[arg(long, default_value_t = 20)]
-        runs: u64,
-        #[arg(long, default_value_t = threads())]
-        threads: usize,
+        #[command(flatten)]
+        seeds: Seeds,
         /// A file for the table.
         #[arg(long)]
         out: Option<PathBuf>,
@@ -113,13 +108,8 @@
     Fleets {
         #[arg(long, value_enum, value_delimiter = ',', default_values_t = [Day::Herd, Day::Zone, Day::Join])]
         day: Vec<Day>,
-        #[arg(long, default_value_t = 0)]
-        from: u64,
-        /// How many seeds of each.
-        #[arg(long, default_value_t = 20)]
-        runs: u64,
-        #[arg(long, default_value_t = threads())]
-        threads: usize,
+        #[command(flatten)]
+        seeds: Seeds,
         /// Print the script of the first seed of the first day in place of playing it.
         #[arg(long)]
         draw: bool,
@@ -130,6 +120,25 @@
     Kinds,
 }
 
+#[derive(clap::Args)]
+struct Seeds {
+    /// The first seed.
+    #[arg(long, default_value_t = 0)]
+    from: u64,
+    /// How many seeds of each.
+    #[arg(long, default_value_t = 20)]
+    runs: u64,
+    /// At once.
+    #[arg(long, default_value_t = threads())]
+    threads: usize,
+}
+
+impl Seeds {
+    fn range(&self) -> std::ops::Range<u64> {
+        self.from..self.from.saturating_add(self.runs)
+    }
+}
+
 #[derive(clap::Args)]
 struct How {
     /// How many of the last lines to print; all steps that broke a rule print theirs.
@@ -291,11 +300,11 @@
             let sizes: Vec<usize> = doors.into_iter().map(usize::from).collect();
             grown(&sizes, seed, threads, out.as_deref())
         }
-        What::Quotas { ill, seconds, from, runs, threads, out } => {
+        What::Quotas { ill, seconds, seeds, out } => {
             if !(10.0..=600.0).contains(&seconds) {
                 return Err(format!("--seconds: expected 10 to 600, found {seconds}"));
             }
-            let found = quotas::sweep(&ill, seconds, from..from.saturating_add(runs), threads);
+            let found = quotas::sweep(&ill, seconds, seeds.range(), seeds.threads);
             let table = quotas::table(&found);
             if let Some(path) = out {
                 std::fs::write(&path, &table).map_err(|e| format!("{}: {e}", path.display()))?;
@@ -304,12 +313,12 @@
             let bad = |f: &&Found| f.report.breach.is_some() || f.presence > 0.0 && f.overshoot > f.bound;
             Ok(found.iter().find(bad).map_or(ExitCode::SUCCESS, |f| told(&f.report, 0)))
         }
-        What::Fleets { day, from, draw: true, .. } => {
-            say(&fleets::script(day[0], from).write());
+        What::Fleets { day, seeds, draw: true } => {
+            say(&fleets::script(day[0], seeds.from).write());
             Ok(ExitCode::SUCCESS)
         }
-        What::Fleets { day, from, runs, threads, .. } => {
-            let found = fleets::sweep(&day, from..from.saturating_add(runs), threads);
+        What::Fleets { day, seeds, .. } => {
+            let found = fleets::sweep(&day, seeds.range(), seeds.threads);
             say(&fleets::table(&found));
             let broken: Vec<_> = found.iter().filter(|f| f.1.breach.is_some()).collect();
             broken.iter().for_each(|(day, r)| say(&format!("rule broken: {}, seed {}", day.name(), r.seed)));
--- a/emulator/src/quotas.rs
+++ b/emulator/src/quotas.rs
@@ -2,10 +2,10 @@
 //! found is set against the bound that docs/counter.md derives.
 use crate::play::{play, Report};
 use crate::script::{Fault, Kind, Script, World};
+use crate::sweep;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::fmt::Write;
-use std::sync::Mutex;
 
 /// What befalls the counter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, clap::ValueEnum)]
@@ -108,18 +108,8 @@
         .iter()
         .flat_map(|ill| seeds.clone().flat_map(move |s| [(*ill, 0.0, s), (*ill, 1.0, s)]))
         .collect();
-    let (next, found) = (Mutex::new(tasks.into_iter()), Mutex::new(vec![]));
-    std::thread::scope(|all| {
-        for _ in 0..threads.max(1) {
-            all.spawn(|| loop {
-                let task = next.lock().unwrap_or_else(|e| e.into_inner()).next();
-                let Some((ill, presence, seed)) = task else { return };
-                let one = look(ill, seconds, presence, seed);
-                found.lock().unwrap_or_else(|e| e.into_inner()).push(one);
-            });
-        }
-    });
-    let mut found = found.into_inner().unwrap_or_else(|e| e.into_inner());
+    let mut found =
+        sweep::on_threads(tasks, threads, |(ill, presence, seed)| look(ill, seconds, presence, seed));
     found.sort_by(|a, b| (a.ill, a.seed).cmp(&(b.ill, b.seed)).then(a.presence.total_cmp(&b.presence)));
     found
 }
--- a/emulator/src/sweep.rs
+++ b/emulator/src/sweep.rs
@@ -40,6 +40,24 @@
     }
 }
 
+/// What each of these comes to, on so many threads; in the order of the tasks.
+pub fn on_threads<T: Send, R: Send>(tasks: Vec<T>, threads: usize, play: impl Fn(T) -> R + Sync) -> Vec<R> {
+    let (next, found) = (Mutex::new(tasks.into_iter().enumerate()), Mutex::new(vec![]));
+    std::thread::scope(|all| {
+        for _ in 0..threads.max(1) {
+            all.spawn(|| loop {
+                let task = next.lock().unwrap_or_else(|e| e.into_inner()).next();
+                let Some((i, task)) = task else { return };
+                let one = (i, play(task));
+                found.lock().unwrap_or_else(|e| e.into_inner()).push(one);
+            });
+        }
+    });
+    let mut found = found.into_inner().unwrap_or_else(|e| e.into_inner());
+    found.sort_by_key(|f| f.0);
+    found.into_iter().map(|f| f.1).collect()
+}
+
 /// Plays these seeds; `stop_at` broken rules are enough. Reports by seed.
 pub fn sweep(
     seeds: std::ops::Range<u64>,
