Nothing is handed over to a process that has died, or that only has its number

Found by reading handover.rs: 'the other process is there' was that /proc has its number. A next version that had died and was not yet looked after by its parent is still there (state Z): told to stop, the old one left the socket to it at once and nobody accepted. Now the file says when a process started, too, and a dead one is not there. A file of the older version, without that time, is read as before.

--- a/gateway/src/life/handover.rs
+++ b/gateway/src/life/handover.rs
@@ -43,8 +43,9 @@
     out: BTreeMap<String, f64>,
     /// The front door is drained by hand.
     drained: bool,
-    /// The newest process.
+    /// The newest process, and when it started, in the machine's ticks: a number alone may be another's by now.
     serves: u32,
+    since: u64,
     /// The process that leaves, and the descriptors that it will not go beyond.
     leaves: u32,
     holds: usize,
@@ -60,7 +61,7 @@
 #[derive(Clone)]
 pub struct Place {
     path: PathBuf,
-    before: u32,
+    before: (u32, u64),
 }
 
 impl Place {
@@ -85,21 +86,22 @@
         };
         let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '-' };
         let path = folder.join(format!("quillramp-{}.json", name.chars().map(plain).collect::<String>()));
+        let own = (std::process::id(), started(std::process::id()).unwrap_or(0));
         // Whoever serves beside us hears of us from the file.
         let ours = |file: &mut Kept| {
-            (file.drained, file.serves, file.leaves) = (false, std::process::id(), 0);
+            (file.drained, file.serves, file.since, file.leaves) = (false, own.0, own.1, 0);
         };
         let (was, now) = update(&path, ours);
-        let own = was.serves;
+        let before = (was.serves, was.since);
         let file = now.unwrap_or_else(|why| {
             tracing::warn!("the next version will not know what this one does: {why}");
-            Kept { drained: false, serves: std::process::id(), ..was }
+            Kept { drained: false, serves: own.0, since: own.1, ..was }
         });
         let (to, asked) = channel();
         let thread = std::thread::Builder::new().name("keep".into());
-        let known = shared(&file, own);
+        let known = shared(&file, before);
         let told = known.clone();
-        let place = Place { path, before: own };
+        let place = Place { path, before };
         let here = place.clone();
         thread.spawn(move || keep(&here, &asked, &inbox, told)).map_err(|e| e.to_string())?;
         Ok((known, Some(Keeper { to, place })))
@@ -117,10 +119,12 @@
 }
 
 /// What the file says to this process, which found another one there at its start.
-fn shared(file: &Kept, before: u32) -> Shared {
-    let other = if file.serves == std::process::id() { before } else { file.serves };
-    let beside = other != 0 && Path::new("/proc").join(other.to_string()).exists();
-    let holds = (beside && file.leaves == other).then_some(file.holds);
+fn shared(file: &Kept, before: (u32, u64)) -> Shared {
+    let named = (file.serves, file.since);
+    let other = if file.serves == std::process::id() { before } else { named };
+    // One that has died is not there, nor is one that only has its number.
+    let beside = other.0 != 0 && started(other.0).is_some_and(|since| other.1 == 0 || other.1 == since);
+    let holds = (beside && file.leaves == other.0).then_some(file.holds);
     Shared { out: file.out.clone(), drained: file.drained, beside, newer: beside && other != before, holds }
 }
 
@@ -150,6 +154,14 @@
     }
 }
 
+/// When a process started, if it still runs: one that has died stays on the machine's list until its parent has looked.
+fn started(process: u32) -> Option<u64> {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+    let mut fields = stat.rsplit(')').next()?.split_whitespace();
+    let state = fields.next()?;
+    fields.nth(18)?.parse().ok().filter(|_| !matches!(state, "Z" | "X"))
+}
+
 /// Reads, changes and writes under a lock: the other process may be at it too, and what it wrote meanwhile, a ban or that
 /// it has come to take over, must not be written over. What the file said, and what it says now.
 fn update(path: &Path, change: impl FnOnce(&mut Kept)) -> (Kept, Result<Kept, String>) {
--- a/gateway/tests/help/mod.rs
+++ b/gateway/tests/help/mod.rs
@@ -30,6 +30,14 @@
     (listener, at)
 }
 
+/// An address that nobody else has: a port that was free a moment ago may be another test's by now.
+pub fn own(port: u16) -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let process = std::process::id() % (250 * 250);
+    let [high, low] = [process / 250, process % 250].map(|n| n as u8);
+    SocketAddr::from(([127, 1 + high, 1 + low, NEXT.fetch_add(1, Ordering::Relaxed)], port))
+}
+
 /// Waits until it accepts.
 pub fn reach(at: SocketAddr) -> TcpStream {
     let from = Instant::now();
@@ -91,10 +99,7 @@
 impl World {
     /// Starts it with the list service at this address, its configuration changed so.
     pub fn start(name: &str, list: SocketAddr, change: impl Fn(String) -> String) -> World {
-        // An address of its own: a port that was free a moment ago may be another test's by now.
-        static NEXT: AtomicU8 = AtomicU8::new(1);
-        let own = [127, 77, (std::process::id() % 251) as u8, NEXT.fetch_add(1, Ordering::Relaxed)];
-        let ((counter, counter_at), at) = (free(), SocketAddr::from((own, 7400)));
+        let ((counter, counter_at), at) = (free(), own(7400));
         toy::counter(counter);
         let told = change(example(list, counter_at).replace("127.0.0.1:7400", &at.to_string()));
         let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("crossing-{name}.json"));
--- a/gateway/tests/passed.rs
+++ b/gateway/tests/passed.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 mod help;
-use help::{free, reach, Door};
+use help::{free, own, reach, Door};
 
 fn folder(name: &str) -> PathBuf {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
@@ -62,7 +62,7 @@
         let mut program = program(&folder, &mgmt.to_string());
         Door(program.env("EDGE_PASSED_SOCKET", fd.to_string()).spawn().expect("the program starts"))
     };
-    let (first, second) = (free().1, free().1);
+    let (first, second) = (own(7404), own(7404));
     let mut old = start(first);
     assert_eq!(call(first, "GET /healthcheck"), "200 serving");
     let connect = || TcpStream::connect(listen).expect("it listens");
@@ -95,6 +95,61 @@
     drop(new);
 }
 
+/// Guards: a next version that had died and was not yet looked after by its parent counted as there: told to stop, the old one left
+/// the socket to it at once, and nobody accepted. A process that only has the number of one that is long gone is not it either.
+#[test]
+fn nothing_is_handed_over_to_a_process_that_has_died() {
+    let folder = folder("died");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listen = listener.local_addr().expect("an address");
+    let fd = listener.as_raw_fd();
+    nix::fcntl::fcntl(&listener, nix::fcntl::FcntlArg::F_SETFD(nix::fcntl::FdFlag::empty()))
+        .expect("inherited");
+    let start = |mgmt: SocketAddr| {
+        let mut program = program(&folder, &mgmt.to_string());
+        Door(program.env("EDGE_PASSED_SOCKET", fd.to_string()).spawn().expect("the program starts"))
+    };
+    let term = |door: &Door| kill(Pid::from_raw(door.0.id() as i32), Signal::SIGTERM).expect("it runs");
+    let logs = |door: &mut Door| {
+        assert_eq!(door.0.wait().expect("it ends").code(), Some(0));
+        let mut said = String::new();
+        door.0.stderr.take().expect("piped").read_to_string(&mut said).expect("text");
+        said
+    };
+    // Told of a process with the number of this test's, which started at another time.
+    let stale = format!(r#"{{"serves": {}, "since": 1}}"#, std::process::id());
+    std::fs::write(folder.join("quillramp-n0.json"), stale).expect("a file");
+    let (alone, first, second) = (own(7404), own(7404), own(7404));
+    let mut door = start(alone);
+    assert_eq!(call(alone, "GET /healthcheck"), "200 serving");
+    term(&door);
+    let said = logs(&mut door);
+    assert!(!said.contains("another process"), "{said}");
+
+    let mut old = start(first);
+    assert_eq!(call(first, "GET /healthcheck"), "200 serving");
+    let new = start(second);
+    assert_eq!(call(second, "GET /healthcheck"), "200 serving");
+    // It dies, and nobody has looked yet.
+    kill(Pid::from_raw(new.0.id() as i32), Signal::SIGKILL).expect("it runs");
+    help::within("it has died", || {
+        let stat =
+            std::fs::read_to_string(format!("/proc/{}/stat", new.0.id())).expect("not yet looked after");
+        stat.rsplit(')').next().is_some_and(|rest| rest.trim().starts_with('Z'))
+    });
+    term(&old);
+    help::within("it has heard", || call(first, "GET /healthcheck").starts_with("503"));
+    let mut late = TcpStream::connect(listen).expect("somebody listens");
+    late.set_read_timeout(Some(Duration::from_secs(5))).expect("a time-out");
+    assert_eq!(ping(&mut late), "-ERR draining", "the old one still accepts");
+    drop((late, new));
+    let said = logs(&mut old);
+    assert!(
+        said.contains("told to stop: serving on") && !said.contains("the next process accepts"),
+        "{said}"
+    );
+}
+
 #[test]
 fn what_is_passed_and_kept_wrongly_is_said_in_one_line() {
     let folder = folder("wrongly");
