--- a/emulator/src/door.rs
+++ b/emulator/src/door.rs
@@ -529,6 +529,10 @@
 
     /// Ended from this side; what was written before leaves first, as far as the network takes it.
     fn close(&mut self, ctx: &mut Ctx, conn: Conn) {
+        // Nothing of a delivery that was given up leaves with the close, as on sockets.
+        if let (Conn::Backend(_), Some(open)) = (conn, self.conns.get_mut(&conn)) {
+            open.out.clear();
+        }
         self.flush(ctx, conn);
         let Some(open) = self.conns.remove(&conn) else { return };
         self.tap_end(ctx, conn, open.wire, true);
--- a/gateway/src/memory/backends.rs
+++ b/gateway/src/memory/backends.rs
@@ -162,6 +162,14 @@
         link.is_some_and(|l| l.carries.iter().any(|c| c.is_some_and(|c| c != (inv, delivery))))
     }
 
+    /// Whatever is still out of it has timed out.
+    pub(super) fn time_up(&mut self, inv: Inv) {
+        let out = self.held[inv].as_ref().map_or(0, |h| h.deliveries.len());
+        for i in 0..out {
+            self.give_up(inv, i, Ending::TimedOut);
+        }
+    }
+
     pub(super) fn give_up(&mut self, inv: Inv, delivery: usize, ending: Ending) {
         let Some(held) = self.held[inv].as_mut() else { return };
         let Some(id) = held.deliveries[delivery].link else { return };
--- a/gateway/src/memory/clients.rs
+++ b/gateway/src/memory/clients.rs
@@ -77,8 +77,7 @@
         let held = self.routes.of(operation, plan, call.customer);
         let longest = held.map_or(f64::INFINITY, |h| h.timeout);
         let until = (now + (call.wait / 1e3).min(longest)).min(self.ends);
-        let declared = held.map(|h| h.declared);
-        let declared = declared.unwrap_or_default();
+        let declared = held.map(|h| h.declared).unwrap_or_default();
         let absent = self.roster.as_mut().map_or(0.0, |r| r.absent(now, of));
         Ok(Ask { operation, plan, customer, units: call.units, of, until, absent, declared })
     }
--- a/gateway/src/memory/drain.rs
+++ b/gateway/src/memory/drain.rs
@@ -13,7 +13,7 @@
 /// late by the 50 ms that the rules allow for.
 const LAST: f64 = 0.2;
 const GONE: f64 = 0.1;
-/// From then on a client that asked on and on is not read from any more, so that its connection can end: it must have
+/// From then on nothing more is heard of a client that asked on and on, so that its connection can end: it must have
 /// ended, or be without a new command for 2 s, 4 s after the call.
 const PATIENCE: f64 = 1.5;
 
@@ -91,12 +91,11 @@
     /// comes now is answered at once. A value on its way through goes on to the exit.
     pub(super) fn last(&mut self, now: f64) {
         for inv in self.held.keys().collect::<Vec<Inv>>() {
-            let held = self.held[inv].as_mut().filter(|h| !h.closed && h.begun.is_none());
-            let Some(held) = held else { continue };
+            let open = self.held[inv].as_mut().filter(|h| !h.closed && h.begun.is_none());
+            let Some(held) = open else { continue };
             held.ask.until = held.ask.until.min(self.ends);
             self.place(now, inv);
-            let out = self.held[inv].as_ref().map_or(0, |h| h.deliveries.len());
-            (0..out).for_each(|i| self.give_up(inv, i, Ending::TimedOut));
+            self.time_up(inv);
             self.conclude(now);
         }
     }
--- a/gateway/src/memory/event.rs
+++ b/gateway/src/memory/event.rs
@@ -212,7 +212,7 @@
     Holds(usize),
     /// Ends a client's connection unless something has come on it that nobody has read.
     Part(u64, Why),
-    /// Nothing more is read from this client.
+    /// Nothing more is heard of this client but its end.
     Mute(u64),
     /// The call, with the milliseconds that we shall wait.
     Deliver(u64, Arc<Call>, u64),
--- a/gateway/src/memory/kept.rs
+++ b/gateway/src/memory/kept.rs
@@ -65,7 +65,7 @@
     pub grown: Option<f64>,
     /// Its framing broke: it closes once all is answered.
     pub broken: bool,
-    /// Nothing more is read from it: it closes so, too.
+    /// Nothing more is heard of it: it closes so, too.
     pub muted: bool,
 }
 
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -288,12 +288,7 @@
                 }
             }
             // The timer goes with the invocation, so the index is still its own.
-            Due::GiveUp(inv) => {
-                let out = self.held[inv].as_ref().map_or(0, |h| h.deliveries.len());
-                for i in 0..out {
-                    self.give_up(inv, i, Ending::TimedOut);
-                }
-            }
+            Due::GiveUp(inv) => self.time_up(inv),
             Due::Half(id) => self.half_too_long(now, id),
             Due::Stalled(inv) => self.stalled(now, inv),
             Due::Counter(id, call) => self.counter_late(now, id, call),
--- a/gateway/src/memory/room.rs
+++ b/gateway/src/memory/room.rs
@@ -133,6 +133,9 @@
     /// Connections that stood idle for half of what the other side allows end here, not there, and clients that say
     /// nothing are let go. Done again and again.
     pub(super) fn sweep(&mut self, now: f64) {
+        for id in self.overdue(now) {
+            self.let_go(id, Why::Idle);
+        }
         let crowded = 2 * self.descriptors() > self.parties.sockets;
         let long = |c: &Client| if c.said && !crowded { CLIENT_IDLE.1 } else { CLIENT_IDLE.0 };
         // A stopping process, with another to accept, ends no connection that nobody has asked anything on.
@@ -142,10 +145,6 @@
         let idle = idle.filter(|(_, c)| !spares(c));
         let mut idle: Vec<u64> = idle.map(|(id, _)| *id).collect();
         idle.sort_unstable();
-        for id in self.overdue(now) {
-            self.let_go(id, Why::Idle);
-            idle.retain(|i| *i != id);
-        }
         // A command may have come just now: it is looked for before the connection ends.
         self.effects.extend(idle.into_iter().map(|id| Effect::Part(id, Why::Idle)));
         let old = now - self.about.link_idle / 2.0;
--- a/gateway/src/sockets/link.rs
+++ b/gateway/src/sockets/link.rs
@@ -530,7 +530,7 @@
         link.common.inbox.push(event);
     }
     fn enough(&self) -> bool {
-        matches!(self.0.conn, Conn::Client(_)) && self.0.asks_ahead()
+        self.0.asks_ahead()
     }
     fn piece(&mut self, bytes: &[u8], end: bool) {
         let link = self.0;
--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -4,7 +4,9 @@
 use nix::sys::signal::Signal;
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver};
+use std::sync::Arc;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -98,14 +100,12 @@
 #[test]
 fn a_first_call_for_the_list_that_goes_unanswered_is_made_again_at_once() {
     let (list, at) = free();
-    let (_, listen) = free();
-    // Told nothing of the list's version by its start, it asks for all of it after SIGHUP: here at the new address.
+    // After SIGHUP it asks the new address for all of its list.
     let (moved, moved_at) = free();
-    toy::list(list, help::listing(&[("a", listen)]));
+    lists(list, &[("a", at)]);
     let world = World::start("first", at, |told| told);
-    let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("crossing-first.json");
-    let told = std::fs::read_to_string(&file).expect("written");
-    std::fs::write(&file, told.replace(&at.to_string(), &moved_at.to_string())).expect("a file");
+    let told = std::fs::read_to_string(&world.file).expect("written");
+    std::fs::write(&world.file, told.replace(&at.to_string(), &moved_at.to_string())).expect("a file");
     world.signal(Signal::SIGHUP);
     let (mute, _) = moved.accept().expect("the first call comes");
     let from = Instant::now();
@@ -123,13 +123,12 @@
     let (list, at) = free();
     let (to, calls) = channel();
     let listing = help::listing(&[("a", at)]);
-    let first = std::sync::atomic::AtomicBool::new(true);
-    let first = std::sync::Arc::new(first);
+    let first = Arc::new(AtomicBool::new(true));
     toy::each(list, move |stream| {
         let (mut from, mut back) = (BufReader::new(stream.try_clone()?), stream);
         while toy::target(&mut from)?.is_some() {
             let _ = to.send(Instant::now()); // the test may be over
-            if first.swap(false, std::sync::atomic::Ordering::SeqCst) {
+            if first.swap(false, Ordering::Relaxed) {
                 write!(back, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{listing}", listing.len())?;
                 toy::target(&mut from)?; // the watch breaks off
                 return Ok(());
--- a/gateway/tests/help/mod.rs
+++ b/gateway/tests/help/mod.rs
@@ -4,7 +4,7 @@
 use nix::unistd::Pid;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc::{channel, Receiver};
@@ -92,6 +92,8 @@
 pub struct World {
     pub door: Door,
     pub at: SocketAddr,
+    /// Its configuration.
+    pub file: PathBuf,
     /// The lines of its log, as they come.
     pub log: Receiver<String>,
 }
@@ -108,7 +110,7 @@
         let (to, log) = channel();
         let lines = BufReader::new(door.stderr.take().expect("piped")).lines();
         spawn(move || lines.map_while(Result::ok).try_for_each(|line| to.send(line)));
-        let world = World { door: Door(door), at, log };
+        let world = World { door: Door(door), at, file, log };
         reach(at);
         world
     }
@@ -126,8 +128,7 @@
     /// Stops its clock, in a manner: it stands until it goes on, and then meets at once all that came meanwhile.
     pub fn stands(&self) {
         self.signal(Signal::SIGSTOP);
-        let state = || std::fs::read_to_string(format!("/proc/{}/stat", self.door.0.id())).expect("it runs");
-        within("it stands", || state().rsplit(')').next().is_some_and(|rest| rest.trim().starts_with('T')));
+        within("it stands", || state(self.door.0.id()) == Some('T'));
     }
 
     pub fn goes_on(&self) {
@@ -153,6 +154,12 @@
     }
 }
 
+/// How the machine says that a process fares: `T` stands, `Z` has died and nobody has looked yet.
+pub fn state(process: u32) -> Option<char> {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).expect("on the machine's list");
+    stat.rsplit(')').next()?.trim().chars().next()
+}
+
 /// Waits until it is so.
 pub fn within(what: &str, is: impl Fn() -> bool) {
     let from = Instant::now();
--- a/gateway/tests/passed.rs
+++ b/gateway/tests/passed.rs
@@ -33,6 +33,25 @@
     program
 }
 
+/// A listening socket that the processes started here inherit.
+fn passed_on() -> (TcpListener, SocketAddr) {
+    let (listener, listen) = free();
+    nix::fcntl::fcntl(&listener, nix::fcntl::FcntlArg::F_SETFD(nix::fcntl::FdFlag::empty()))
+        .expect("inherited");
+    (listener, listen)
+}
+
+/// A process of the front door that accepts on it.
+fn starts_on(listener: &TcpListener, folder: &Path, mgmt: SocketAddr) -> Door {
+    let mut program = program(folder, &mgmt.to_string());
+    let fd = listener.as_raw_fd().to_string();
+    Door(program.env("EDGE_PASSED_SOCKET", fd).spawn().expect("the program starts"))
+}
+
+fn term(door: &Door) {
+    kill(Pid::from_raw(door.0.id() as i32), Signal::SIGTERM).expect("it runs");
+}
+
 /// What an operator's call gets: the status and the body.
 fn call(at: SocketAddr, call: &str) -> String {
     let mut to = reach(at);
@@ -53,15 +72,8 @@
 #[test]
 fn the_next_version_takes_over_the_socket_and_the_bans() {
     let folder = folder("takes-over");
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let listen = listener.local_addr().expect("an address");
-    let fd = listener.as_raw_fd();
-    nix::fcntl::fcntl(&listener, nix::fcntl::FcntlArg::F_SETFD(nix::fcntl::FdFlag::empty()))
-        .expect("inherited");
-    let start = |mgmt: SocketAddr| {
-        let mut program = program(&folder, &mgmt.to_string());
-        Door(program.env("EDGE_PASSED_SOCKET", fd.to_string()).spawn().expect("the program starts"))
-    };
+    let (listener, listen) = passed_on();
+    let start = |mgmt: SocketAddr| starts_on(&listener, &folder, mgmt);
     let (first, second) = (own(7404), own(7404));
     let mut old = start(first);
     assert_eq!(call(first, "GET /healthcheck"), "200 serving");
@@ -80,7 +92,7 @@
     assert_eq!(call(second, "POST /backends/s-a/ready"), "200 done");
     sleep(Duration::from_millis(300));
     assert!(call(first, "GET /stats").contains(r#""members_unavailable":0"#));
-    kill(Pid::from_raw(old.0.id() as i32), Signal::SIGTERM).expect("it runs");
+    term(&old);
     sleep(Duration::from_millis(100));
     assert!(call(first, "GET /healthcheck").starts_with("503"));
     assert_eq!(kept.read(&mut [0]).expect("an end"), 0, "ended between two commands");
@@ -100,16 +112,8 @@
 #[test]
 fn nothing_is_handed_over_to_a_process_that_has_died() {
     let folder = folder("died");
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let listen = listener.local_addr().expect("an address");
-    let fd = listener.as_raw_fd();
-    nix::fcntl::fcntl(&listener, nix::fcntl::FcntlArg::F_SETFD(nix::fcntl::FdFlag::empty()))
-        .expect("inherited");
-    let start = |mgmt: SocketAddr| {
-        let mut program = program(&folder, &mgmt.to_string());
-        Door(program.env("EDGE_PASSED_SOCKET", fd.to_string()).spawn().expect("the program starts"))
-    };
-    let term = |door: &Door| kill(Pid::from_raw(door.0.id() as i32), Signal::SIGTERM).expect("it runs");
+    let (listener, listen) = passed_on();
+    let start = |mgmt: SocketAddr| starts_on(&listener, &folder, mgmt);
     let logs = |door: &mut Door| {
         assert_eq!(door.0.wait().expect("it ends").code(), Some(0));
         let mut said = String::new();
@@ -132,11 +136,7 @@
     assert_eq!(call(second, "GET /healthcheck"), "200 serving");
     // It dies, and nobody has looked yet.
     kill(Pid::from_raw(new.0.id() as i32), Signal::SIGKILL).expect("it runs");
-    help::within("it has died", || {
-        let stat =
-            std::fs::read_to_string(format!("/proc/{}/stat", new.0.id())).expect("not yet looked after");
-        stat.rsplit(')').next().is_some_and(|rest| rest.trim().starts_with('Z'))
-    });
+    help::within("it has died", || help::state(new.0.id()) == Some('Z'));
     term(&old);
     help::within("it has heard", || call(first, "GET /healthcheck").starts_with("503"));
     let mut late = TcpStream::connect(listen).expect("somebody listens");
