--- a/counter/examples/measure.rs
+++ b/counter/examples/measure.rs
@@ -1,8 +1,8 @@
 //! Calls a second that one member, two and three answer on this machine, over so many connections with so many calls on their way each, and
 //! how long a start takes with a million names. Prints a table.
-use quillramp_counter::disk::Folder;
-use quillramp_counter::log::{Log, Snapshot, Vow};
-use quillramp_counter::service::{start, Place, Service, Times};
+use quillramp_counter::disk::Directory;
+use quillramp_counter::log::{HardState, Log, LogPosition, Snapshot};
+use quillramp_counter::server::{Listeners, ReplicaConfig, Server, Timing};
 use quillramp_counter::totals::{Add, Totals};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -13,17 +13,18 @@
 const SECONDS: f64 = 3.0;
 const NAMES: usize = 1_000_000;
 
-fn members(number: u64, folder: &Path) -> Vec<Service> {
+fn members(number: u64, folder: &Path) -> Vec<Server> {
     let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let sockets: BTreeMap<u64, (TcpListener, TcpListener)> =
-        (1..=number).map(|id| (id, (bind(), bind()))).collect();
+    let sockets: BTreeMap<u64, Listeners> =
+        (1..=number).map(|id| (id, Listeners { clients: bind(), peers: bind() })).collect();
     let members: BTreeMap<u64, SocketAddr> =
-        sockets.iter().map(|(id, s)| (*id, s.1.local_addr().expect("an address"))).collect();
+        sockets.iter().map(|(id, s)| (*id, s.peers.local_addr().expect("an address"))).collect();
     let mut all = vec![];
-    for (id, pair) in sockets {
-        let place = Place { id, listen: pair.0.local_addr().expect("an address"), members: members.clone() };
-        let disk = Folder::new(&folder.join(id.to_string())).expect("a folder");
-        all.push(start(disk, place, Times::default(), pair, id).expect("it starts"));
+    for (id, listeners) in sockets {
+        let client_address = listeners.clients.local_addr().expect("an address");
+        let config = ReplicaConfig { id, client_address, peer_addresses: members.clone() };
+        let disk = Directory::new(&folder.join(id.to_string())).expect("a folder");
+        all.push(Server::start(disk, config, Timing::default(), listeners, id).expect("it starts"));
     }
     all
 }
@@ -70,7 +71,7 @@
         std::thread::sleep(Duration::from_millis(800));
         for (connections, pipelined) in [(1, 1), (16, 1), (16, 32)] {
             let until = Instant::now() + Duration::from_secs_f64(SECONDS);
-            let at: Vec<SocketAddr> = all.iter().map(|s| s.listen).collect();
+            let at: Vec<SocketAddr> = all.iter().map(|s| s.client_address).collect();
             let threads: Vec<_> = (0..connections)
                 .map(|i| {
                     let at = at[i % at.len()];
@@ -94,18 +95,22 @@
         }
     }
     let at = folder.join("names");
-    let (mut log, _) = Log::open::<Totals, Add>(Folder::new(&at).expect("a folder")).expect("it opens");
+    let (mut log, _) = Log::open::<Totals, Add>(Directory::new(&at).expect("a folder")).expect("it opens");
     let mut state = Totals::default();
     for i in 0..NAMES {
-        state.add(&Add { name: format!("{i:x}.59").into_bytes(), by: 1.0, lives: 60.0, at: 1000.0 });
+        state.add(&Add { name: format!("{i:x}.59").into_bytes(), amount: 1.0, lifetime: 60.0, time: 1000.0 });
     }
     let began = Instant::now();
-    log.snapshot::<Totals, Add>(&Snapshot { index: NAMES as u64, term: 1, state }, Vow::default(), &[])
-        .expect("kept");
+    log.snapshot::<Totals, Add>(
+        &Snapshot { last_included: LogPosition { index: NAMES as u64, term: 1 }, state },
+        HardState::default(),
+        &[],
+    )
+    .expect("kept");
     println!("\na state of {NAMES} names kept in {:.2} s", began.elapsed().as_secs_f64());
     drop(log);
     let began = Instant::now();
-    let (_, found) = Log::open::<Totals, Add>(Folder::new(&at).expect("a folder")).expect("it opens");
+    let (_, found) = Log::open::<Totals, Add>(Directory::new(&at).expect("a folder")).expect("it opens");
     println!("and read back in {:.2} s: {} names", began.elapsed().as_secs_f64(), found.snapshot.state.len());
     let _ = std::fs::remove_dir_all(&folder); // ours
 }
--- a/counter/src/lib.rs
+++ b/counter/src/lib.rs
@@ -1,8 +1,12 @@
-//! A counter of the project's own, in the published form of the platform's: named totals with a life. Durable by a log with checksums and
-//! snapshots; alone, or two or three of them that a majority of must agree on each call.
+//! A shared counter: named totals with a limited lifetime, kept in a checksummed log with snapshots, on one machine or on two or
+//! three of which a majority has to accept each call. It answers the counter calls that the platform publishes.
+#![warn(missing_docs)]
 pub mod disk;
+mod error;
+mod frame;
+mod http;
 pub mod log;
-pub mod member;
-pub mod service;
+pub mod raft;
+pub mod server;
 pub mod totals;
-mod wire;
+pub use error::{Error, Result};
--- /dev/null
+++ b/counter/src/log/mod.rs
@@ -0,0 +1,207 @@
+//! The persistent log: records with a checksum each, and snapshots that stand for all entries before them.
+mod files;
+mod record;
+mod recovery;
+pub use recovery::Recovered;
+
+use crate::disk::Disk;
+use crate::Result;
+use record::Record;
+use recovery::Recovery;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// A command at its place in the replicated log.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Entry<C> {
+    /// Its place, counted from 1.
+    pub index: u64,
+    /// The term in which it was proposed.
+    pub term: u64,
+    /// None: the entry with which a leader begins its term.
+    pub command: Option<C>,
+}
+
+impl<C> Entry<C> {
+    /// Its index and term.
+    pub fn position(&self) -> LogPosition {
+        LogPosition { index: self.index, term: self.term }
+    }
+}
+
+/// Identifies an entry: two logs with the same position have the same entries up to it. The default comes before the first entry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LogPosition {
+    /// Index of the entry.
+    pub index: u64,
+    /// Term of the entry.
+    pub term: u64,
+}
+
+impl LogPosition {
+    /// Whether a log that ends here is at least as up to date as one that ends at the other position: the later term decides, then
+    /// the longer log.
+    pub fn is_as_recent_as(self, other: LogPosition) -> bool {
+        (self.term, self.index) >= (other.term, other.index)
+    }
+}
+
+/// What a node must not forget beside its entries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct HardState {
+    /// The latest term it has heard of.
+    pub term: u64,
+    /// The node that has its vote in this term.
+    pub vote: Option<u64>,
+}
+
+impl fmt::Display for HardState {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "term {}, vote ", self.term)?;
+        match self.vote {
+            Some(node) => write!(f, "{node}"),
+            None => write!(f, "none"),
+        }
+    }
+}
+
+/// The state after an entry, so that the entries up to it need not be kept.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot<S> {
+    /// The last entry that the state includes.
+    pub last_included: LogPosition,
+    /// The state.
+    pub state: S,
+}
+
+/// A log that is open for writing.
+pub struct Log<D> {
+    disk: D,
+    /// The file in use.
+    file: String,
+    /// Size of the file in use, bytes.
+    size: u64,
+    /// Records that the next flush writes.
+    pending: Vec<u8>,
+}
+
+impl<D: Disk> Log<D> {
+    /// Opens a log and recovers what it holds. The end of a write that was cut short is dropped; any other damage is an error.
+    pub fn open<S, C>(mut disk: D) -> Result<(Log<D>, Recovered<S, C>)>
+    where
+        S: Serialize + DeserializeOwned + Default,
+        C: Serialize + DeserializeOwned,
+    {
+        let Recovery { recovered, newest_log, newest_log_size } = recovery::recover(&mut disk)?;
+        let is_new = newest_log.is_none();
+        let first_index = recovered.snapshot.last_included.index + 1;
+        let file = newest_log.unwrap_or_else(|| files::name(files::LOG, first_index));
+        let mut log = Log { disk, file, size: newest_log_size, pending: vec![] };
+        if is_new {
+            log.hard_state(recovered.hard_state);
+            log.flush()?;
+            log.disk.sync_directory()?;
+        }
+        Ok((log, recovered))
+    }
+
+    /// Adds an entry; the next flush writes it.
+    pub fn entry<C: Serialize + Clone>(&mut self, entry: &Entry<C>) {
+        self.pending.extend(record::encode(&Record::Entry(entry.clone())));
+    }
+
+    /// Replaces the term and vote; the next flush writes them.
+    pub fn hard_state(&mut self, hard_state: HardState) {
+        self.pending.extend(record::encode(&Record::<()>::HardState(hard_state)));
+    }
+
+    /// Drops the entries from an index on; the next flush writes that.
+    pub fn truncate_from(&mut self, index: u64) {
+        self.pending.extend(record::encode(&Record::<()>::TruncateFrom(index)));
+    }
+
+    /// Writes and syncs what was added: it lasts once this returns. After an error the end of the file is unknown and the log has to
+    /// be opened anew.
+    pub fn flush(&mut self) -> Result<()> {
+        if self.pending.is_empty() {
+            return Ok(());
+        }
+        self.disk.append(&self.file, &self.pending)?;
+        self.disk.sync(&self.file)?;
+        self.size += self.pending.len() as u64;
+        self.pending.clear();
+        Ok(())
+    }
+
+    /// Size of the file in use, bytes.
+    pub fn size(&self) -> u64 {
+        self.size
+    }
+
+    /// Puts a state in the place of all entries up to its own; `following` are those after it. A start that comes in between finds
+    /// either what was there before or this.
+    pub fn snapshot<S: Serialize, C: Serialize + Clone>(
+        &mut self,
+        snapshot: &Snapshot<S>,
+        hard_state: HardState,
+        following: &[Entry<C>],
+    ) -> Result<()> {
+        self.flush()?;
+        let index = snapshot.last_included.index;
+        let before = self.disk.names()?;
+        // A new log file first: until the snapshot is there it only repeats what the earlier file holds.
+        let next = files::name(files::LOG, index + 1);
+        if next != self.file {
+            self.begin_file(next, hard_state, following)?;
+        }
+        self.write_whole(&files::name(files::SNAPSHOT, index), &record::encode(snapshot))?;
+        self.remove_older(&before, files::LOG, index + 1)?;
+        self.remove_older(&before, files::SNAPSHOT, index)?;
+        self.disk.sync_directory()?;
+        Ok(())
+    }
+
+    /// The disk under the log.
+    pub fn into_disk(self) -> D {
+        self.disk
+    }
+
+    fn begin_file<C: Serialize + Clone>(
+        &mut self,
+        name: String,
+        hard_state: HardState,
+        entries: &[Entry<C>],
+    ) -> Result<()> {
+        let mut bytes = record::encode(&Record::<()>::HardState(hard_state));
+        for entry in entries {
+            bytes.extend(record::encode(&Record::Entry(entry.clone())));
+        }
+        self.write_whole(&name, &bytes)?;
+        self.file = name;
+        self.size = bytes.len() as u64;
+        Ok(())
+    }
+
+    fn remove_older(&mut self, names: &[String], kind: &str, oldest_kept: u64) -> Result<()> {
+        for file in files::of_kind(names, kind) {
+            if file.index < oldest_kept {
+                self.disk.remove(&file.name)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes a file that is there whole or not at all.
+    fn write_whole(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
+        let unfinished = format!("{}{name}", files::UNFINISHED);
+        if self.disk.names()?.contains(&unfinished) {
+            self.disk.remove(&unfinished)?;
+        }
+        self.disk.append(&unfinished, bytes)?;
+        self.disk.sync(&unfinished)?;
+        self.disk.rename(&unfinished, name)?;
+        self.disk.sync_directory()?;
+        Ok(())
+    }
+}
--- a/counter/src/main.rs
+++ b/counter/src/main.rs
@@ -1,14 +1,13 @@
-//! quillramp-counter: serves a counter, alone or as one of two or three; or looks at one's files.
+//! quillramp-counter: serves a counter, alone or as one of two or three replicas, or inspects a replica's files.
+mod inspect;
+mod serve;
+
 use clap::{Parser, Subcommand};
-use quillramp_counter::disk::Folder;
-use quillramp_counter::log::Log;
-use quillramp_counter::service::{self, Place, Times};
-use quillramp_counter::totals::{Add, Totals};
-use signal_hook::consts::{SIGINT, SIGTERM};
-use std::collections::BTreeMap;
+use quillramp_counter::server::Timing;
+use serve::ServeOptions;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// A counter of named totals, in a durable log.
@@ -18,11 +17,11 @@
 #[command(version)]
 struct Cli {
     #[command(subcommand)]
-    what: What,
+    command: Command,
 }
 
 #[derive(Subcommand)]
-enum What {
+enum Command {
     /// Serve until SIGTERM.
     Serve {
         /// Where front doors call.
@@ -35,13 +34,13 @@
         #[arg(long, default_value_t = 1)]
         id: u64,
         /// All members, this one included, as ID=ADDRESS; left out: alone.
-        #[arg(long = "member", value_parser = member)]
+        #[arg(long = "member", value_parser = parse_member)]
         members: Vec<(u64, SocketAddr)>,
         /// Seconds without a word of the leader, at least, before another one stands.
-        #[arg(long, default_value_t = Times::default().patience)]
+        #[arg(long, default_value_t = Timing::default().election_timeout)]
         patience: f64,
         /// The longest that a name lives, seconds; budgets of longer periods need more.
-        #[arg(long, default_value_t = Times::default().longest_life)]
+        #[arg(long, default_value_t = Timing::default().max_lifetime)]
         longest_life: f64,
     },
     /// Look whether a folder's files are whole.
@@ -55,100 +54,51 @@
     },
 }
 
-fn member(text: &str) -> Result<(u64, SocketAddr), String> {
-    let wrong = || format!("'{text}': expected ID=ADDRESS");
-    let (id, at) = text.split_once('=').ok_or_else(wrong)?;
-    Ok((id.parse().map_err(|_| wrong())?, at.parse().map_err(|_| wrong())?))
-}
+/// The text of a member that is not ID=ADDRESS.
+#[derive(Debug, thiserror::Error)]
+#[error("'{0}': expected ID=ADDRESS")]
+struct InvalidMember(String);
 
-fn serve(place: Place, data: &Path, (patience, longest_life): (f64, f64)) -> Result<String, String> {
-    if !(0.02..=60.0).contains(&patience) {
-        return Err(format!("--patience: expected 0.02 to 60 seconds, found {patience}"));
-    }
-    if !(1.0..=1e8).contains(&longest_life) {
-        return Err(format!("--longest-life: expected 1 to 1e8 seconds, found {longest_life}"));
-    }
-    let times = Times { beat: patience / 7.0, patience, longest_life, ..Times::default() };
-    let own = *place.members.get(&place.id).ok_or(format!("--id {}: no --member has it", place.id))?;
-    let bind = |at: SocketAddr| TcpListener::bind(at).map_err(|e| format!("{at}: {e}"));
-    let sockets = (bind(place.listen)?, bind(own)?);
-    let disk = Folder::new(data).map_err(|e| format!("{}: {e}", data.display()))?;
-    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT]).map_err(|e| e.to_string())?;
-    let seed =
-        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default().as_nanos();
-    let told = |e: quillramp_counter::log::Wrong| format!("{}: {e}", data.display());
-    let mut service = service::start(disk, place, times, sockets, seed as u64).map_err(told)?;
-    eprintln!("quillramp-counter: serves at {}", service.listen);
-    let handle = signals.handle();
-    let stopper = service.stopper();
-    std::thread::spawn(move || {
-        if signals.forever().next().is_some() {
-            stopper();
-        }
-    });
-    let ended = service.wait();
-    handle.close();
-    ended.map_err(told).map(|()| "stopped".into())
+fn parse_member(text: &str) -> Result<(u64, SocketAddr), InvalidMember> {
+    let parts = text.split_once('=');
+    let member = parts.and_then(|(id, address)| Some((id.parse().ok()?, address.parse().ok()?)));
+    member.ok_or_else(|| InvalidMember(text.to_owned()))
 }
 
-fn look(data: &Path, names: bool, whole: bool) -> Result<String, String> {
-    let told = |e: &dyn std::fmt::Display| format!("{}: {e}", data.display());
-    if !data.is_dir() {
-        return Err(told(&"no such folder"));
-    }
-    // On a copy in memory: looking changes nothing, and an unfinished write is told and not dropped.
-    let mut copy = quillramp_counter::disk::Memory::default();
-    let mut disk = Folder::new(data).map_err(|e| told(&e))?;
-    copy.fill(&mut disk).map_err(|e| told(&e))?;
-    let (_, found) = Log::open::<Totals, Add>(copy).map_err(|e| told(&e))?;
-    let mut totals = found.snapshot.state.clone();
-    for add in found.entries.iter().filter_map(|e| e.command.as_ref()) {
-        totals.add(add);
-    }
-    let mut text = format!(
-        "{}: {}; a state up to entry {}, {} entries behind it, {} names",
-        data.display(),
-        service::vow_of(&found.vow),
-        found.snapshot.index,
-        found.entries.len(),
-        totals.len()
-    );
-    if found.torn > 0 {
-        text += &format!("; {} bytes of an unfinished write at the end", found.torn);
-    }
-    if whole {
-        text += "; all checksums fit";
-    }
-    if names {
-        for (name, total) in totals.all() {
-            text += &format!("\n{} {total}", String::from_utf8_lossy(name));
+fn run(command: Command) -> Result<String, Box<dyn std::error::Error>> {
+    match command {
+        Command::Serve { listen, data, id, members, patience, longest_life } => {
+            let options = ServeOptions {
+                id,
+                client_address: listen,
+                members,
+                directory: data,
+                election_timeout: patience,
+                max_lifetime: longest_life,
+            };
+            serve::serve(options)?;
+            Ok("stopped".into())
+        }
+        Command::Verify { data } => {
+            let contents = inspect::read(&data)?;
+            Ok(format!("{contents}; all checksums fit"))
+        }
+        Command::Show { data, names } => {
+            let contents = inspect::read(&data)?;
+            let names = if names { contents.names() } else { String::new() };
+            Ok(format!("{contents}{names}"))
         }
     }
-    Ok(text)
 }
 
 fn main() -> ExitCode {
-    let done = match Cli::parse().what {
-        What::Serve { listen, data, id, members, patience, longest_life } => {
-            let alone = || BTreeMap::from([(id, SocketAddr::from(([127, 0, 0, 1], 0)))]);
-            let given: BTreeMap<u64, SocketAddr> = members.iter().copied().collect();
-            if given.len() < members.len() || given.len() > 3 {
-                Err("--member: expected each id once, three at the most".into())
-            } else {
-                let members = if given.is_empty() { alone() } else { given };
-                serve(Place { id, listen, members }, &data, (patience, longest_life))
-            }
-        }
-        What::Verify { data } => look(&data, false, true),
-        What::Show { data, names } => look(&data, names, false),
-    };
-    match done {
+    match run(Cli::parse().command) {
         Ok(text) => {
-            let _ = writeln!(std::io::stdout(), "{text}"); // somebody who has stopped reading stops nothing
+            let _ = writeln!(std::io::stdout(), "{text}"); // a reader that has gone stops nothing
             ExitCode::SUCCESS
         }
-        Err(why) => {
-            eprintln!("quillramp-counter: {why}");
+        Err(error) => {
+            eprintln!("quillramp-counter: {error}");
             ExitCode::FAILURE
         }
     }
--- /dev/null
+++ b/counter/src/raft/mod.rs
@@ -0,0 +1,175 @@
+//! One node of the replicated counter: the published Raft algorithm with fixed membership. There is no clock and no I/O here: the
+//! caller reports timeouts, persists what [`Effects`] holds before it sends anything, and carries the messages. A deposed leader is
+//! fenced by the algorithm alone: without a majority nothing that it proposes is committed, and so nothing is answered.
+mod effects;
+mod election;
+mod fault;
+mod message;
+mod replication;
+pub use effects::{Effects, InstalledSnapshot};
+pub use fault::Fault;
+pub use message::{Message, ReplicatedEntry};
+
+use crate::log::{Entry, HardState, LogPosition};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Identifies a node of the cluster.
+pub type NodeId = u64;
+
+/// What a node is in its current term, with what it knows only in that role.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Role {
+    /// Accepts entries of a leader.
+    Follower {
+        /// The leader of the current term, once it was heard of.
+        leader: Option<NodeId>,
+    },
+    /// Stands for election.
+    Candidate {
+        /// Nodes that voted for this one, itself included.
+        votes: BTreeSet<NodeId>,
+    },
+    /// Proposes and replicates entries.
+    Leader {
+        /// Index of the entry to send next, by follower.
+        next_index: BTreeMap<NodeId, u64>,
+        /// Highest index known to be replicated, by follower.
+        match_index: BTreeMap<NodeId, u64>,
+        /// Followers that answered since the last check of the quorum.
+        active: BTreeSet<NodeId>,
+    },
+}
+
+/// The state of one node; `C` is a command of the replicated state machine.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Node<C> {
+    /// This node.
+    pub id: NodeId,
+    peers: Vec<NodeId>,
+    /// Term and vote, which have to be persisted.
+    pub hard_state: HardState,
+    /// Its role in the current term.
+    pub role: Role,
+    /// The last entry that a snapshot stands for; entries up to it are not held.
+    pub snapshot_position: LogPosition,
+    entries: Vec<Entry<C>>,
+    /// Index of the last committed entry.
+    pub commit_index: u64,
+    /// A fault that a test injects.
+    pub fault: Fault,
+}
+
+impl<C: Clone + PartialEq> Node<C> {
+    /// A follower with the state that was persisted before; `members` includes this node.
+    pub fn new(
+        id: NodeId,
+        members: &[NodeId],
+        hard_state: HardState,
+        snapshot_position: LogPosition,
+        entries: Vec<Entry<C>>,
+    ) -> Node<C> {
+        Node {
+            id,
+            peers: members.iter().copied().filter(|member| *member != id).collect(),
+            hard_state,
+            role: Role::Follower { leader: None },
+            snapshot_position,
+            entries,
+            commit_index: snapshot_position.index,
+            fault: Fault::None,
+        }
+    }
+
+    /// Whether this node is the leader of its term, as far as it knows.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader { .. })
+    }
+
+    /// The leader of the current term, if it is known.
+    pub fn leader(&self) -> Option<NodeId> {
+        match self.role {
+            Role::Leader { .. } => Some(self.id),
+            Role::Follower { leader } => leader,
+            Role::Candidate { .. } => None,
+        }
+    }
+
+    /// Position of the last entry of its log.
+    pub fn last_position(&self) -> LogPosition {
+        self.entries.last().map_or(self.snapshot_position, Entry::position)
+    }
+
+    /// The entry with this index, if it is held.
+    pub fn entry(&self, index: u64) -> Option<&Entry<C>> {
+        let offset = index.checked_sub(self.snapshot_position.index + 1)?;
+        self.entries.get(offset as usize)
+    }
+
+    /// The entries that follow an index.
+    pub fn entries_after(&self, index: u64) -> &[Entry<C>] {
+        let offset = index.saturating_sub(self.snapshot_position.index) as usize;
+        &self.entries[offset.min(self.entries.len())..]
+    }
+
+    /// Drops the entries up to a committed index, once a snapshot stands for them.
+    pub fn compact(&mut self, index: u64) {
+        let Some(term) = self.term_at(index) else { return };
+        if index <= self.snapshot_position.index || index > self.commit_index {
+            return;
+        }
+        self.entries.retain(|entry| entry.index > index);
+        self.snapshot_position = LogPosition { index, term };
+    }
+
+    /// Handles a message of another node.
+    pub fn step(&mut self, from: NodeId, message: Message<C>, effects: &mut Effects<C>) {
+        if message.term() > self.hard_state.term {
+            self.adopt_term(message.term(), effects);
+        }
+        let is_stale = message.term() < self.hard_state.term;
+        match message {
+            Message::RequestVote { last, .. } => self.handle_request_vote(from, last, is_stale, effects),
+            Message::Vote { granted, .. } => self.handle_vote(from, granted && !is_stale, effects),
+            Message::AppendEntries { .. } | Message::InstallSnapshot { .. } if is_stale => {
+                self.reject_append(from, effects);
+            }
+            Message::AppendEntries { previous, entries, commit_index, .. } => {
+                self.handle_append_entries(from, previous, entries, commit_index, effects);
+            }
+            Message::AppendResponse { .. } if is_stale => {}
+            Message::AppendResponse { match_index, retry_from, .. } => {
+                self.handle_append_response(from, match_index, retry_from, effects);
+            }
+            Message::InstallSnapshot { last_included, state, .. } => {
+                self.handle_install_snapshot(from, last_included, state, effects);
+            }
+        }
+    }
+
+    /// Restarts after a crash with what was persisted.
+    pub fn restart(&mut self) {
+        if self.fault == Fault::ForgetsVote {
+            self.hard_state.vote = None;
+        }
+        self.role = Role::Follower { leader: None };
+        self.commit_index = self.snapshot_position.index;
+    }
+
+    fn adopt_term(&mut self, term: u64, effects: &mut Effects<C>) {
+        self.hard_state = HardState { term, vote: None };
+        effects.hard_state = Some(self.hard_state);
+        self.role = Role::Follower { leader: None };
+    }
+
+    fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.snapshot_position.index {
+            return Some(self.snapshot_position.term);
+        }
+        self.entry(index).map(|entry| entry.term)
+    }
+
+    fn is_quorum(&self, nodes: usize) -> bool {
+        let members = self.peers.len() + 1;
+        2 * nodes > members
+    }
+}
--- /dev/null
+++ b/counter/src/serve.rs
@@ -0,0 +1,119 @@
+//! The `serve` command.
+use quillramp_counter::disk::Directory;
+use quillramp_counter::server::{Listeners, ReplicaConfig, Server, Timing};
+use quillramp_counter::Error;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::ops::RangeInclusive;
+use std::path::PathBuf;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Replicas at the most: more than three are not built for.
+const MAX_MEMBERS: usize = 3;
+/// Election timeouts that are accepted, seconds: above what a sync takes, below what clients wait.
+const ELECTION_TIMEOUTS: RangeInclusive<f64> = 0.02..=60.0;
+/// Lifetimes that are accepted as the longest, seconds: up to some three years.
+const MAX_LIFETIMES: RangeInclusive<f64> = 1.0..=1e8;
+/// Heartbeats of a leader in the shortest election timeout, so that some may be lost.
+const HEARTBEATS_PER_ELECTION_TIMEOUT: f64 = 7.0;
+
+/// The options of the command.
+pub struct ServeOptions {
+    /// This replica.
+    pub id: u64,
+    /// Where clients call.
+    pub client_address: SocketAddr,
+    /// All replicas, this one included; none: alone.
+    pub members: Vec<(u64, SocketAddr)>,
+    /// The directory of the log.
+    pub directory: PathBuf,
+    /// The shortest election timeout, seconds.
+    pub election_timeout: f64,
+    /// The longest lifetime of a name, seconds.
+    pub max_lifetime: f64,
+}
+
+/// What keeps the command from serving.
+#[derive(Debug, thiserror::Error)]
+pub enum ServeError {
+    #[error("--member: expected each id once, three at the most")]
+    Members,
+    #[error("--patience: expected 0.02 to 60 seconds, found {0}")]
+    ElectionTimeout(f64),
+    #[error("--longest-life: expected 1 to 1e8 seconds, found {0}")]
+    MaxLifetime(f64),
+    #[error("--id {0}: no --member has it")]
+    UnknownId(u64),
+    #[error("{address}: {source}")]
+    Bind { address: SocketAddr, source: io::Error },
+    #[error("{directory}: {source}")]
+    Directory { directory: String, source: io::Error },
+    #[error("{0}")]
+    Signals(io::Error),
+    #[error("{directory}: {source}")]
+    Counter { directory: String, source: Error },
+}
+
+/// Serves until a signal ends it.
+pub fn serve(options: ServeOptions) -> Result<(), ServeError> {
+    let peer_addresses = peer_addresses(&options)?;
+    let timing = timing(&options)?;
+    let own_address = *peer_addresses.get(&options.id).ok_or(ServeError::UnknownId(options.id))?;
+    let listeners = Listeners { clients: bind(options.client_address)?, peers: bind(own_address)? };
+    let directory = options.directory.display().to_string();
+    let disk = Directory::new(&options.directory)
+        .map_err(|source| ServeError::Directory { directory: directory.clone(), source })?;
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(ServeError::Signals)?;
+    let config = ReplicaConfig { id: options.id, client_address: options.client_address, peer_addresses };
+    let counter_error = |source| ServeError::Counter { directory: directory.clone(), source };
+    let mut server = Server::start(disk, config, timing, listeners, seed()).map_err(counter_error)?;
+    eprintln!("quillramp-counter: serves at {}", server.client_address);
+    let signals_handle = signals.handle();
+    let stop = server.stopper();
+    std::thread::spawn(move || {
+        if signals.forever().next().is_some() {
+            stop();
+        }
+    });
+    let ended = server.wait();
+    signals_handle.close();
+    ended.map_err(counter_error)
+}
+
+fn peer_addresses(options: &ServeOptions) -> Result<BTreeMap<u64, SocketAddr>, ServeError> {
+    let members: BTreeMap<u64, SocketAddr> = options.members.iter().copied().collect();
+    if members.len() < options.members.len() || members.len() > MAX_MEMBERS {
+        return Err(ServeError::Members);
+    }
+    if members.is_empty() {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        return Ok(BTreeMap::from([(options.id, any_port)]));
+    }
+    Ok(members)
+}
+
+fn timing(options: &ServeOptions) -> Result<Timing, ServeError> {
+    if !ELECTION_TIMEOUTS.contains(&options.election_timeout) {
+        return Err(ServeError::ElectionTimeout(options.election_timeout));
+    }
+    if !MAX_LIFETIMES.contains(&options.max_lifetime) {
+        return Err(ServeError::MaxLifetime(options.max_lifetime));
+    }
+    Ok(Timing {
+        heartbeat_interval: options.election_timeout / HEARTBEATS_PER_ELECTION_TIMEOUT,
+        election_timeout: options.election_timeout,
+        max_lifetime: options.max_lifetime,
+        ..Timing::default()
+    })
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, ServeError> {
+    TcpListener::bind(address).map_err(|source| ServeError::Bind { address, source })
+}
+
+fn seed() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64
+}
--- a/counter/src/totals.rs
+++ b/counter/src/totals.rs
@@ -1,83 +1,97 @@
-//! What a counter holds: totals by name, each with its life. Plain state, changed by commands in their order and by nothing else, so that every
-//! member that takes the same commands in holds the same. The time is in the commands.
+//! What a counter holds: totals by name, each with its lifetime. It is plain state, changed by commands in their order and by nothing
+//! else, so that every node that applies the same commands holds the same. The time is in the commands.
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The longest that a name lives unless a counter is told otherwise, and what a name and an amount may be, as the platform's counter has it.
-pub const LONGEST_LIFE: f64 = 60.0;
-pub const LONGEST_NAME: usize = 64;
-pub const LARGEST: f64 = 1e9;
+/// The longest lifetime of a name unless a counter is configured otherwise, seconds; the platform's counter has it so.
+pub const DEFAULT_MAX_LIFETIME: f64 = 60.0;
+/// The longest name, bytes; the platform's counter has it so.
+pub const MAX_NAME_BYTES: usize = 64;
+/// The largest amount either way; the platform's counter has it so.
+pub const MAX_AMOUNT: f64 = 1e9;
+/// The shortest lifetime, seconds: the unit of the platform's calls.
+const MIN_LIFETIME: f64 = 0.001;
+const MICROSECONDS_PER_SECOND: f64 = 1e6;
 
-/// Adds to a name. `at` is the time of the member that took the call, in seconds; the clock of the state never runs back.
+/// The command that adds to a total.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Add {
+    /// The name of the total.
     pub name: Vec<u8>,
-    pub by: f64,
-    /// Seconds that a new name lives.
-    pub lives: f64,
-    pub at: f64,
+    /// What is added; may be negative.
+    pub amount: f64,
+    /// How long a new name lives, seconds.
+    pub lifetime: f64,
+    /// The clock of the node that took the call, seconds since 1970.
+    pub time: f64,
 }
 
 impl Add {
-    /// Whether it is a call that a counter takes.
-    pub fn well(&self) -> bool {
-        (1..=LONGEST_NAME).contains(&self.name.len())
-            && self.by.is_finite()
-            && self.by.abs() <= LARGEST
-            && self.lives >= 0.001
-            && self.at.is_finite()
+    /// Whether it is within the limits of a counter.
+    pub fn is_valid(&self) -> bool {
+        (1..=MAX_NAME_BYTES).contains(&self.name.len())
+            && self.amount.is_finite()
+            && self.amount.abs() <= MAX_AMOUNT
+            && self.lifetime >= MIN_LIFETIME
+            && self.time.is_finite()
     }
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 struct Total {
-    is: f64,
-    /// When it is forgotten, in microseconds.
-    until: u64,
+    value: f64,
+    /// Microseconds since 1970.
+    expires_at: u64,
 }
 
+/// Totals by name; a total that has expired is as if it had never been there.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Totals {
-    names: BTreeMap<Vec<u8>, Total>,
-    /// Names by the moment at which they are forgotten.
-    ends: BTreeSet<(u64, Vec<u8>)>,
-    /// The latest time that a command brought, microseconds.
+    by_name: BTreeMap<Vec<u8>, Total>,
+    /// Names in the order in which they expire.
+    by_expiry: BTreeSet<(u64, Vec<u8>)>,
+    /// The latest time of a command, microseconds since 1970; never runs back.
     now: u64,
 }
 
 impl Totals {
-    /// The total that stands there afterwards.
+    /// Applies a command: the total after it.
     pub fn add(&mut self, add: &Add) -> f64 {
-        // A clock that stepped back, or another member's that is behind, forgets nothing sooner and nothing later.
-        self.now = self.now.max((add.at.max(0.0) * 1e6) as u64);
-        self.forget();
-        let lives = (add.lives * 1e6) as u64;
-        let until = self.now + lives;
-        let total = self.names.entry(add.name.clone()).or_insert_with(|| {
-            self.ends.insert((until, add.name.clone()));
-            Total { is: 0.0, until }
+        // A clock that stepped back, or another node's that is behind, expires nothing sooner and nothing later.
+        self.now = self.now.max(microseconds(add.time.max(0.0)));
+        self.expire();
+        let expires_at = self.now + microseconds(add.lifetime);
+        let total = self.by_name.entry(add.name.clone()).or_insert_with(|| {
+            self.by_expiry.insert((expires_at, add.name.clone()));
+            Total { value: 0.0, expires_at }
         });
-        total.is += add.by;
-        total.is
-    }
-
-    fn forget(&mut self) {
-        while self.ends.first().is_some_and(|(until, _)| *until <= self.now) {
-            let Some((_, name)) = self.ends.pop_first() else { return };
-            self.names.remove(&name);
-        }
+        total.value += add.amount;
+        total.value
     }
 
+    /// Number of names.
     pub fn len(&self) -> usize {
-        self.names.len()
+        self.by_name.len()
     }
 
+    /// Whether there are no names.
     pub fn is_empty(&self) -> bool {
-        self.names.is_empty()
+        self.by_name.is_empty()
+    }
+
+    /// Names and their totals, by name.
+    pub fn iter(&self) -> impl Iterator<Item = (&[u8], f64)> {
+        self.by_name.iter().map(|(name, total)| (name.as_slice(), total.value))
     }
 
-    /// Names and their totals, in order.
-    pub fn all(&self) -> impl Iterator<Item = (&[u8], f64)> {
-        self.names.iter().map(|(name, total)| (name.as_slice(), total.is))
+    fn expire(&mut self) {
+        while self.by_expiry.first().is_some_and(|(expires_at, _)| *expires_at <= self.now) {
+            let Some((_, name)) = self.by_expiry.pop_first() else { return };
+            self.by_name.remove(&name);
+        }
     }
 }
+
+fn microseconds(seconds: f64) -> u64 {
+    (seconds * MICROSECONDS_PER_SECOND) as u64
+}
--- a/counter/tests/agreement.rs
+++ b/counter/tests/agreement.rs
@@ -1,6 +1,6 @@
 //! The replication, checked over all orders of what can happen in a small world: elections, lost and late messages, crashes.
-use quillramp_counter::log::Vow;
-use quillramp_counter::member::{Flaw, Id, Member, Message, Out};
+use quillramp_counter::log::{HardState, LogPosition};
+use quillramp_counter::raft::{Effects, Fault, Message, Node, NodeId};
 use stateright::{Checker, Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -8,14 +8,14 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct World {
-    members: Vec<Member<Command>>,
+    members: Vec<Node<Command>>,
     /// Messages on their way: each may come at any time, or never.
-    net: BTreeSet<(Id, Id, Message<Command>)>,
+    net: BTreeSet<(NodeId, NodeId, Message<Command>)>,
     proposed: u8,
     crashes: u8,
     /// What was ever agreed on, by index; and who led in which term.
     agreed: BTreeMap<u64, (u64, Option<Command>)>,
-    led: BTreeMap<u64, Id>,
+    led: BTreeMap<u64, NodeId>,
     broken: Option<&'static str>,
 }
 
@@ -25,8 +25,8 @@
     Beat(usize),
     Propose(usize),
     Crash(usize),
-    Comes(Id, Id, Message<Command>),
-    Lost(Id, Id, Message<Command>),
+    Comes(NodeId, NodeId, Message<Command>),
+    Lost(NodeId, NodeId, Message<Command>),
 }
 
 struct Small {
@@ -35,21 +35,22 @@
     entries: u64,
     commands: u8,
     crashes: u8,
-    flaw: Flaw,
+    fault: Fault,
 }
 
 impl World {
     /// What a step of a member brings.
-    fn takes(&mut self, i: usize, out: Out<Command>) {
+    fn takes(&mut self, i: usize, out: Effects<Command>) {
         let id = self.members[i].id;
-        for (to, message) in out.send {
+        for (to, message) in out.messages {
             self.net.insert((id, to, message));
         }
-        for to in out.install {
-            let (term, upto) = (self.members[i].vow.term, self.members[i].base);
-            self.net.insert((id, to, Message::Install { term, upto, state: vec![] }));
+        for to in out.snapshot_targets {
+            let term = self.members[i].hard_state.term;
+            let last_included = self.members[i].snapshot_position;
+            self.net.insert((id, to, Message::InstallSnapshot { term, last_included, state: vec![] }));
         }
-        if let Some(upto) = out.committed {
+        if let Some(upto) = out.commit_index {
             for index in 1..=upto {
                 let Some(entry) = self.members[i].entry(index) else { continue };
                 let is = (entry.term, entry.command);
@@ -60,15 +61,15 @@
                 }
             }
         }
-        if self.members[i].leads() {
-            let term = self.members[i].vow.term;
+        if self.members[i].is_leader() {
+            let term = self.members[i].hard_state.term;
             if *self.led.entry(term).or_insert(id) != id {
                 self.broken = Some("two leaders of one term");
             }
             // A leader has all that was ever agreed on before its term.
             let lacks = |(index, (of, command)): (&u64, &(u64, Option<Command>))| {
                 let own = self.members[i].entry(*index);
-                let kept = *index > self.members[i].base.0; // else a state stands for it
+                let kept = *index > self.members[i].snapshot_position.index; // else a state stands for it
                 kept && *of < term && own.is_none_or(|e| (e.term, e.command) != (*of, *command))
             };
             if self.agreed.iter().any(lacks) {
@@ -83,10 +84,10 @@
     type Action = Act;
 
     fn init_states(&self) -> Vec<World> {
-        let ids: Vec<Id> = (1..=self.members as u64).collect();
-        let member = |id: &Id| {
-            let mut m = Member::new(*id, &ids, Vow::default(), (0, 0), vec![]);
-            m.flaw = self.flaw;
+        let ids: Vec<NodeId> = (1..=self.members as u64).collect();
+        let member = |id: &NodeId| {
+            let mut m = Node::new(*id, &ids, HardState::default(), LogPosition::default(), vec![]);
+            m.fault = self.fault;
             m
         };
         vec![World {
@@ -105,12 +106,12 @@
             return;
         }
         for (i, m) in w.members.iter().enumerate() {
-            if !m.leads() && m.vow.term < self.terms {
+            if !m.is_leader() && m.hard_state.term < self.terms {
                 acts.push(Act::Time(i));
             }
-            if m.leads() {
+            if m.is_leader() {
                 acts.push(Act::Beat(i));
-                if w.proposed < self.commands && m.last().0 < self.entries {
+                if w.proposed < self.commands && m.last_position().index < self.entries {
                     acts.push(Act::Propose(i));
                 }
             }
@@ -126,31 +127,31 @@
 
     fn next_state(&self, w: &World, act: Act) -> Option<World> {
         let mut w = w.clone();
-        let mut out = Out::default();
+        let mut out = Effects::default();
         let i = match act {
             Act::Time(i) => {
-                w.members[i].times_out(&mut out);
+                w.members[i].election_timeout(&mut out);
                 i
             }
             Act::Beat(i) => {
-                w.members[i].beats(&mut out);
+                w.members[i].heartbeat(&mut out);
                 i
             }
             Act::Propose(i) => {
                 w.proposed += 1;
-                w.members[i].proposes(w.proposed, &mut out)?;
-                w.members[i].spreads(&mut out);
+                w.members[i].propose(w.proposed, &mut out)?;
+                w.members[i].replicate(&mut out);
                 i
             }
             Act::Crash(i) => {
                 w.crashes += 1;
-                w.members[i].restarts();
+                w.members[i].restart();
                 i
             }
             Act::Comes(from, to, message) => {
                 w.net.remove(&(from, to, message.clone()));
                 let i = to as usize - 1;
-                w.members[i].hears(from, message, &mut out);
+                w.members[i].step(from, message, &mut out);
                 i
             }
             Act::Lost(from, to, message) => {
@@ -168,7 +169,7 @@
             Property::always("logs that agree at an index agree before it", |_, w: &World| {
                 let pairs = w.members.iter().flat_map(|a| w.members.iter().map(move |b| (a, b)));
                 pairs.into_iter().all(|(a, b)| {
-                    let shared = (1..=a.last().0.min(b.last().0)).rev();
+                    let shared = (1..=a.last_position().index.min(b.last_position().index)).rev();
                     let same = |i: &u64| a.entry(*i).map(|e| e.term) == b.entry(*i).map(|e| e.term);
                     let mut agreeing = shared.skip_while(|i| !same(i));
                     agreeing.all(|i| a.entry(i) == b.entry(i))
@@ -182,7 +183,10 @@
     }
 
     fn within_boundary(&self, w: &World) -> bool {
-        w.net.len() <= 4 && w.members.iter().all(|m| m.vow.term <= self.terms && m.last().0 <= self.entries)
+        w.net.len() <= 4
+            && w.members
+                .iter()
+                .all(|m| m.hard_state.term <= self.terms && m.last_position().index <= self.entries)
     }
 }
 
@@ -193,7 +197,7 @@
     (checker.unique_state_count(), checker.is_done(), found.collect())
 }
 
-const SMALL: Small = Small { members: 3, terms: 2, entries: 3, commands: 1, crashes: 0, flaw: Flaw::None };
+const SMALL: Small = Small { members: 3, terms: 2, entries: 3, commands: 1, crashes: 0, fault: Fault::None };
 
 #[test]
 fn every_order_of_a_small_world_holds() {
@@ -216,10 +220,10 @@
 /// Each flaw is found: the check is no ornament.
 #[test]
 fn what_is_broken_is_found() {
-    let blind = Small { flaw: Flaw::VotesBlindly, commands: 0, ..SMALL };
+    let blind = Small { fault: Fault::VotesBlindly, commands: 0, ..SMALL };
     let (_, _, broken) = checked(blind, 400_000);
     assert!(!broken.is_empty(), "blind votes");
-    let forgets = Small { flaw: Flaw::ForgetsVote, crashes: 1, terms: 1, entries: 1, commands: 0, ..SMALL };
+    let forgets = Small { fault: Fault::ForgetsVote, crashes: 1, terms: 1, entries: 1, commands: 0, ..SMALL };
     let (_, _, broken) = checked(forgets, 400_000);
     assert!(!broken.is_empty(), "a forgotten vote");
 }
@@ -228,8 +232,8 @@
 #[test]
 fn long_walks_hold() {
     use rand::{Rng, SeedableRng};
-    let walk = |flaw: Flaw, seed: u64| {
-        let small = Small { members: 3, terms: 40, entries: 60, commands: 40, crashes: 20, flaw };
+    let walk = |fault: Fault, seed: u64| {
+        let small = Small { members: 3, terms: 40, entries: 60, commands: 40, crashes: 20, fault };
         let mut r = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
         let mut w = small.init_states().remove(0);
         for _ in 0..1500 {
@@ -250,21 +254,21 @@
             // Now and then a member keeps its state whole, and needs no entries before it.
             if r.gen_bool(0.02) {
                 let i = r.gen_range(0..3);
-                let commit = w.members[i].commit;
-                w.members[i].compacts(commit);
+                let commit = w.members[i].commit_index;
+                w.members[i].compact(commit);
             }
         }
         (w.broken, w.agreed.len())
     };
     let mut agreed = 0;
     for seed in 0..40 {
-        let (broken, n) = walk(Flaw::None, seed);
+        let (broken, n) = walk(Fault::None, seed);
         assert_eq!(broken, None, "seed {seed}");
         agreed += n;
     }
     assert!(agreed > 400, "{agreed}");
-    for flaw in [Flaw::AgreesAlone, Flaw::VotesBlindly] {
-        assert!((0..200).any(|seed| walk(flaw, seed).0.is_some()), "{flaw:?}");
+    for fault in [Fault::CommitsAlone, Fault::VotesBlindly] {
+        assert!((0..200).any(|seed| walk(fault, seed).0.is_some()), "{fault:?}");
     }
 }
 
@@ -273,25 +277,28 @@
 #[test]
 fn what_is_on_its_way_is_not_sent_again() {
     let ids = [1, 2, 3];
-    let new = |id| Member::new(id, &ids, Vow::default(), (0, 0), vec![]);
+    let new = |id| Node::new(id, &ids, HardState::default(), LogPosition::default(), vec![]);
     let (mut leader, mut other) = (new(1), new(2));
-    let mut out = Out::default();
-    leader.times_out(&mut out);
-    leader.hears(2, Message::Vote { term: 1, granted: true }, &mut out);
+    let mut out = Effects::default();
+    leader.election_timeout(&mut out);
+    leader.step(2, Message::Vote { term: 1, granted: true }, &mut out);
     for command in 0..20u8 {
-        leader.proposes(command, &mut out);
-        leader.spreads(&mut out);
+        leader.propose(command, &mut out);
+        leader.replicate(&mut out);
     }
     // Whatever the leader has sent reaches the follower, whose answers reach the leader, until nothing is left.
     let mut sent = 0;
-    let mut on_the_way: std::collections::VecDeque<_> = out.send.into();
+    let mut on_the_way: std::collections::VecDeque<_> = out.messages.into();
     while let Some((to, message)) = on_the_way.pop_front() {
-        let (Message::Append { entries, .. }, 2) = (&message, to) else { continue };
+        let (Message::AppendEntries { entries, .. }, 2) = (&message, to) else { continue };
         sent += entries.len();
-        let (mut said, mut more) = (Out::default(), Out::default());
-        other.hears(1, message, &mut said);
-        said.send.into_iter().for_each(|(_, answer)| leader.hears(2, answer, &mut more));
-        on_the_way.extend(more.send);
+        let (mut said, mut more) = (Effects::default(), Effects::default());
+        other.step(1, message, &mut said);
+        said.messages.into_iter().for_each(|(_, answer)| leader.step(2, answer, &mut more));
+        on_the_way.extend(more.messages);
     }
-    assert_eq!((sent, other.last(), leader.commit), (21, (21, 1), 21));
+    assert_eq!(
+        (sent, other.last_position(), leader.commit_index),
+        (21, LogPosition { index: 21, term: 1 }, 21)
+    );
 }
--- a/counter/tests/help/mod.rs
+++ b/counter/tests/help/mod.rs
@@ -1,8 +1,8 @@
 //! What the tests of the counter share; each uses a part of it.
 #![allow(dead_code)]
-use quillramp_counter::disk::{Folder, Memory};
+use quillramp_counter::disk::{Directory, MemoryDisk};
 use quillramp_counter::log::{Entry, Log};
-use quillramp_counter::service::{start, Place, Service, Times};
+use quillramp_counter::server::{Listeners, ReplicaConfig, Server, Timing};
 use quillramp_counter::totals::Add;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
@@ -11,14 +11,14 @@
 use std::time::{Duration, Instant};
 
 pub fn add(name: &str, by: f64, at: f64) -> Add {
-    Add { name: name.into(), by, lives: 60.0, at }
+    Add { name: name.into(), amount: by, lifetime: 60.0, time: at }
 }
 
 pub fn entry(index: u64, by: f64) -> Entry<Add> {
     Entry { index, term: 1, command: Some(add("a", by, 1000.0)) }
 }
 
-pub fn log(disk: Memory) -> Log<Memory> {
+pub fn log(disk: MemoryDisk) -> Log<MemoryDisk> {
     Log::open::<quillramp_counter::totals::Totals, Add>(disk).expect("it opens").0
 }
 
@@ -102,7 +102,7 @@
 pub struct Cluster {
     pub members: BTreeMap<u64, SocketAddr>,
     pub calls: BTreeMap<u64, SocketAddr>,
-    pub running: BTreeMap<u64, Service>,
+    pub running: BTreeMap<u64, Server>,
     name: String,
 }
 
@@ -128,11 +128,12 @@
     }
 
     pub fn up(&mut self, id: u64) {
-        let place = Place { id, listen: self.calls[&id], members: self.members.clone() };
-        let disk = Folder::new(&self.folder(id)).expect("a folder");
-        let sockets = (bind(self.calls[&id]), bind(self.members[&id]));
-        let service = start(disk, place, Times::default(), sockets, 7 * id).expect("it starts");
-        self.running.insert(id, service);
+        let config =
+            ReplicaConfig { id, client_address: self.calls[&id], peer_addresses: self.members.clone() };
+        let disk = Directory::new(&self.folder(id)).expect("a folder");
+        let listeners = Listeners { clients: bind(self.calls[&id]), peers: bind(self.members[&id]) };
+        let server = Server::start(disk, config, Timing::default(), listeners, 7 * id).expect("it starts");
+        self.running.insert(id, server);
     }
 
     pub fn down(&mut self, id: u64) {
--- a/counter/tests/log.rs
+++ b/counter/tests/log.rs
@@ -1,27 +1,28 @@
 //! The log on a disk that dies: at each of its steps, with any part of what was not synced; torn, flipped and full.
-use quillramp_counter::disk::{Disk, Memory};
-use quillramp_counter::log::{Log, Snapshot, Vow, Wrong};
+use quillramp_counter::disk::{Disk, MemoryDisk};
+use quillramp_counter::log::{HardState, Log, LogPosition, Snapshot};
 use quillramp_counter::totals::{Add, Totals};
+use quillramp_counter::Error;
 
 mod help;
 use help::{add, entry, log};
 
-type Found = quillramp_counter::log::Found<Totals, Add>;
+type Found = quillramp_counter::log::Recovered<Totals, Add>;
 
-fn opened(disk: Memory) -> Result<(Log<Memory>, Found), Wrong> {
+fn opened(disk: MemoryDisk) -> Result<(Log<MemoryDisk>, Found), Error> {
     Log::open::<Totals, Add>(disk)
 }
 
 /// A life of a log: entries in batches, a vow, a cut, snapshots. Tells `kept` what was promised after each flush.
-fn live(disk: Memory, mut kept: impl FnMut(u64, f64, Vow)) -> (Result<(), Wrong>, Memory) {
+fn live(disk: MemoryDisk, mut kept: impl FnMut(u64, f64, HardState)) -> (Result<(), Error>, MemoryDisk) {
     let (mut log, _) = match opened(disk.clone()) {
         Ok(opened) => opened,
         Err(e) => return (Err(e), disk),
     };
     let mut totals = Totals::default();
-    let mut vow = Vow::default();
+    let mut vow = HardState::default();
     let mut all = vec![];
-    let mut done = || -> Result<(), Wrong> {
+    let mut done = || -> Result<(), Error> {
         for batch in 0..6u64 {
             for i in 1..=3 {
                 let e = entry(3 * batch + i, 1.0);
@@ -29,8 +30,8 @@
                 all.push(e);
             }
             if batch == 1 {
-                vow = Vow { term: 2, vote: Some(3) };
-                log.vow(vow);
+                vow = HardState { term: 2, vote: Some(3) };
+                log.hard_state(vow);
             }
             log.flush()?;
             kept(3 * batch + 3, (3 * batch + 3) as f64, vow);
@@ -42,7 +43,11 @@
                     totals.add(e.command.as_ref().expect("one"));
                 });
                 let rest: Vec<_> = all.iter().filter(|e| e.index > upto).cloned().collect();
-                log.snapshot(&Snapshot { index: upto, term: 1, state: totals.clone() }, vow, &rest)?;
+                log.snapshot(
+                    &Snapshot { last_included: LogPosition { index: upto, term: 1 }, state: totals.clone() },
+                    vow,
+                    &rest,
+                )?;
             }
         }
         Ok(())
@@ -57,22 +62,22 @@
     for e in &found.entries {
         totals.add(e.command.as_ref().expect("a command"));
     }
-    let last = found.entries.last().map_or(found.snapshot.index, |e| e.index);
-    let total = totals.all().next().map_or(0.0, |t| t.1);
+    let last = found.entries.last().map_or(found.snapshot.last_included.index, |e| e.index);
+    let total = totals.iter().next().map_or(0.0, |t| t.1);
     (last, total)
 }
 
 #[test]
 fn what_was_flushed_is_there_whichever_step_the_disk_dies_at() {
-    let (result, disk) = live(Memory::default(), |_, _, _| {});
+    let (result, disk) = live(MemoryDisk::default(), |_, _, _| {});
     result.expect("it lives");
     let steps = disk.steps();
     assert!(steps > 30, "{steps}");
     let mut seen = 0;
     for dies_at in 1..=steps {
         for keeps in [0, 1, 100, 128, 200, 254, 255] {
-            let (mut promised, mut vowed) = ((0, 0.0), Vow::default());
-            let disk = Memory::dying(dies_at, keeps);
+            let (mut promised, mut vowed) = ((0, 0.0), HardState::default());
+            let disk = MemoryDisk::failing_at(dies_at, keeps);
             let (result, disk) = live(disk, |last, total, vow| (promised, vowed) = ((last, total), vow));
             assert!(result.is_err(), "step {dies_at}");
             let (log, found) =
@@ -80,7 +85,7 @@
             let (last, total) = holds(&found);
             assert!(last >= promised.0, "step {dies_at}, {keeps}: {last} of {}", promised.0);
             assert_eq!(total, last as f64, "step {dies_at}, {keeps}: each entry once");
-            assert!(found.vow.term >= vowed.term, "step {dies_at}, {keeps}: {:?}", found.vow);
+            assert!(found.hard_state.term >= vowed.term, "step {dies_at}, {keeps}: {:?}", found.hard_state);
             // It goes on from there, and is found again.
             let mut log = log;
             log.entry(&entry(last + 1, 1.0));
@@ -95,7 +100,7 @@
 
 #[test]
 fn a_flipped_bit_anywhere_but_in_the_last_write_is_told() {
-    let (result, disk) = live(Memory::default(), |_, _, _| {});
+    let (result, disk) = live(MemoryDisk::default(), |_, _, _| {});
     result.expect("it lives");
     let mut copy = disk.clone();
     let names = copy.names().expect("names");
@@ -104,9 +109,9 @@
         let bits = disk.size(name) * 8;
         for bit in (0..bits).step_by(3) {
             let mut disk = disk.clone();
-            disk.flip(name, bit);
+            disk.flip_bit(name, bit);
             match opened(disk) {
-                Err(Wrong::Damaged { file, .. }) => {
+                Err(Error::Corrupt { file, .. }) => {
                     assert_eq!(&file, name);
                     told += 1;
                 }
@@ -114,7 +119,7 @@
                 // Only the very last record can't be told from a write that was cut short.
                 Ok((_, found)) => {
                     assert!(
-                        found.torn > 0 && holds(&found).0 == 17,
+                        found.dropped_bytes > 0 && holds(&found).0 == 17,
                         "{name}, bit {bit}: {:?}",
                         holds(&found)
                     );
@@ -128,8 +133,8 @@
 
 #[test]
 fn a_full_disk_is_an_error_and_what_was_there_stays() {
-    let mut small = Memory::default();
-    small.room = Some(300);
+    let mut small = MemoryDisk::default();
+    small.capacity = Some(300);
     let mut log = log(small);
     let mut last = 0;
     let full = (1..100).find_map(|i| {
@@ -138,24 +143,24 @@
         last = if done.is_ok() { i } else { last };
         done.err()
     });
-    assert!(matches!(full, Some(Wrong::Disk(e)) if e.kind() == std::io::ErrorKind::StorageFull));
+    assert!(matches!(full, Some(Error::Io(e)) if e.kind() == std::io::ErrorKind::StorageFull));
     let mut disk = log.into_disk();
-    disk.room = None;
+    disk.capacity = None;
     let (_, found) = opened(disk).expect("it opens");
-    assert!(found.torn > 0);
+    assert!(found.dropped_bytes > 0);
     assert_eq!(holds(&found), (last, last as f64));
 }
 
 #[test]
 fn cuts_and_gaps() {
-    let mut l = log(Memory::default());
+    let mut l = log(MemoryDisk::default());
     (1..=5).for_each(|i| l.entry(&entry(i, 1.0)));
-    l.cut(3);
+    l.truncate_from(3);
     l.entry(&entry(3, 10.0));
     l.flush().expect("well");
     let (_, found) = opened(l.into_disk()).expect("it opens");
     assert_eq!(holds(&found), (3, 12.0));
-    let mut l = log(Memory::default());
+    let mut l = log(MemoryDisk::default());
     l.entry(&entry(1, 1.0));
     l.entry(&entry(3, 1.0));
     l.flush().expect("well");
@@ -166,12 +171,12 @@
 #[test]
 fn totals_live_as_long_as_they_may_and_time_never_runs_back() {
     let mut t = Totals::default();
-    let short = |by: f64, at: f64| Add { lives: 2.0, ..add("a", by, at) };
+    let short = |by: f64, at: f64| Add { lifetime: 2.0, ..add("a", by, at) };
     assert_eq!(t.add(&short(3.0, 100.0)), 3.0);
     assert_eq!(t.add(&short(4.0, 101.9)), 7.0, "its life is its first call's");
     assert_eq!(t.add(&short(1.0, 50.0)), 8.0, "a clock that stepped back");
     assert_eq!(t.add(&short(1.0, 102.0)), 1.0, "forgotten");
-    t.add(&Add { lives: 60.0, ..add("b", 1.0, 102.0) });
+    t.add(&Add { lifetime: 60.0, ..add("b", 1.0, 102.0) });
     t.add(&short(0.0, 161.9));
     assert_eq!(t.len(), 2);
     t.add(&short(0.0, 162.1));
@@ -179,6 +184,6 @@
     for bad in
         [add("", 1.0, 1.0), add(&"x".repeat(65), 1.0, 1.0), add("a", f64::NAN, 1.0), add("a", 2e9, 1.0)]
     {
-        assert!(!bad.well(), "{bad:?}");
+        assert!(!bad.is_valid(), "{bad:?}");
     }
 }
