Idle clients leave the list, the counter and backends their descriptors, and askers their connection

Cause: accepting went on to the machine's limit before the reducer had seen the first client of a flood, and the machine's limit was never read: where it lay under the configuration's nothing was kept free at all. Room for one more client was made as for a backend's connection, so a flood that is younger than 50 ms cost idle backend connections and then the client that had asked longest ago.

Change: clients hold at most all descriptors but 64 (with few, a quarter: `room::most_clients`); accepting stops there until one is let go. The allowance is the lesser of the configuration's and RLIMIT_NOFILE. For one more client only clients are let go: those that hold on, then those that have said nothing, then the one idle longest.

Seen to fail before (gateway/tests/descriptors.rs on the program untouched, 160 descriptors by the machine, 160 and 640 by the configuration): both, right as 500 idle clients came, at a client that asked 20 times a second and was ended for them. After: both pass; the list is had within 2 s of the service's return, then an invocation is sent on with the counter and a new backend.

--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,7 +1,10 @@
 //! quillramp: starts the front door, and the main thread then waits for signals; or checks an operator's file.
 use clap::{CommandFactory, Parser, Subcommand};
-use quillramp_gateway::life::{check, configuration, handover, handover::Keeper, logger, operator, signals};
+use quillramp_gateway::life::{
+    check, configuration, descriptors, handover, handover::Keeper, logger, operator, signals,
+};
 use quillramp_gateway::memory::reducer::{Parties, Reducer};
+use quillramp_gateway::memory::room;
 use quillramp_gateway::sockets::{
     accept, accept::Who, clock::Clock, drive::Driver, drive::Links, inbox::Inbox,
 };
@@ -66,7 +69,8 @@
     may::config().set_workers(1).set_stack_size(STACK).set_worker_pin(false);
 
     let inbox = Arc::new(Inbox::new()?);
-    let common = Common::new(inbox.clone(), told.limits.memory_mb << 20);
+    let sockets = descriptors::allowed(told.limits.sockets);
+    let common = Common::new(inbox.clone(), told.limits.memory_mb << 20, room::most_clients(sockets));
     let links = Arc::new(Links::default());
     let stop_accepting = Arc::new(AtomicBool::new(false));
     let shares = passed.is_some();
@@ -84,7 +88,7 @@
         peers_all: told.peers_all,
         counter: told.counter,
         list: told.discovery,
-        sockets: told.limits.sockets,
+        sockets,
         passed: shares,
         called: mgmt.is_some(),
         keeps: keeper.is_some(),
--- a/gateway/src/memory/event.rs
+++ b/gateway/src/memory/event.rs
@@ -185,7 +185,7 @@
         from: SocketAddr,
         body: Vec<u8>,
     },
-    /// Accepting found no descriptor left.
+    /// Accepting found no descriptor left for one more client.
     Crowded,
     /// The configuration was read again: where the list service and the counter are now.
     Moved {
--- a/gateway/src/memory/mod.rs
+++ b/gateway/src/memory/mod.rs
@@ -14,6 +14,6 @@
 mod operators;
 mod peers;
 pub mod reducer;
-mod room;
+pub mod room;
 mod roster;
 mod streams;
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -222,9 +222,7 @@
             Event::Datagram { from, body } => self.heard(now, from, &body),
             // Who is turned away in this batch leaves a descriptor.
             Event::Crowded if self.turned_away => {}
-            Event::Crowded => {
-                self.make_room(now);
-            }
+            Event::Crowded => self.make_room_for_client(now),
             Event::NotMoved(why) => {
                 self.stats.reload_errors += 1;
                 let say = format!("configuration not taken up, the old one stays in force: {why}");
--- a/gateway/src/memory/room.rs
+++ b/gateway/src/memory/room.rs
@@ -23,9 +23,18 @@
 /// How often it is looked for what stands idle.
 const LOOK: f64 = 0.5;
 
+/// Descriptors that clients never get: the list service's, the counter's, some for backends, operators' and the
+/// process's own. An operator's file may give the rest away too (`admission.connections`).
+const NOT_CLIENTS: usize = 64;
+
+/// How many clients' connections may hold a descriptor at once, of so many descriptors in all; with few of them, a quarter.
+pub fn most_clients(descriptors: usize) -> usize {
+    descriptors.saturating_sub(NOT_CLIENTS).max(descriptors / 4)
+}
+
 impl Reducer {
     pub(super) fn descriptors(&self) -> usize {
-        self.clients.len() + self.links.len() + self.counters.len() + 1
+        self.clients.len() + self.links.len() + self.counters.len() + 1 + self.overdue.len()
     }
 
     /// No descriptor is left for one more connection.
@@ -78,31 +87,57 @@
     /// Closes what stands idle: clients that only hold on to their connection, then the backend connection that has
     /// longest, for it costs a handshake to have it again, then any client's; false if there was none.
     pub(super) fn make_room(&mut self, now: f64) -> bool {
-        if let Some(id) = self.overdue(now).first() {
-            self.let_go(*id, Why::Crowded);
-            return true;
-        }
-        let held_on =
+        self.spare_holding_client(now) || self.spare_idle_link() || self.spare_any_client(now)
+    }
+
+    /// Closes a client's connection so that another may be taken in. A backend's descriptor would not do for that: those
+    /// are counted apart (`most_clients`).
+    pub(super) fn make_room_for_client(&mut self, now: f64) {
+        let _none_is_idle =
+            self.spare_holding_client(now) || self.spare_silent_client() || self.spare_any_client(now);
+    }
+
+    /// Closes a client's connection that says nothing; false if there was none.
+    fn spare_holding_client(&mut self, now: f64) -> bool {
+        let holds_on =
             |c: &Client| c.half.is_none() && c.used < now - if c.said { CLIENT_IDLE.0 } else { ARRIVING };
-        if let Some(id) = self.idle_client(held_on) {
-            self.let_go(id, Why::Crowded);
-            return true;
-        }
+        let spared = self.overdue(now).first().copied().or_else(|| self.idle_client(holds_on));
+        self.spare(spared)
+    }
+
+    /// Closes the backend connection that has stood idle longest; false if there was none.
+    fn spare_idle_link(&mut self) -> bool {
         let idle = self.places.iter().filter_map(|p| p.idle.first()).copied();
-        if let Some(id) = idle.min_by(|a, b| self.links[a].since.total_cmp(&self.links[b].since)) {
-            let tgt = self.links[&id].tgt;
-            self.places[tgt].idle.retain(|i| *i != id);
-            self.close_link(id, Why::Crowded);
-            return true;
-        }
+        let oldest = idle.min_by(|a, b| self.links[a].since.total_cmp(&self.links[b].since));
+        let Some(id) = oldest else { return false };
+        let tgt = self.links[&id].tgt;
+        self.places[tgt].idle.retain(|i| *i != id);
+        self.close_link(id, Why::Crowded);
+        true
+    }
+
+    /// Closes a client's connection that has said nothing yet, however short that is; false if there was none. Where there are
+    /// limits of admission, these name who goes.
+    fn spare_silent_client(&mut self) -> bool {
+        let spared =
+            if self.gate.is_some() { None } else { self.idle_client(|c| !c.said && c.half.is_none()) };
+        self.spare(spared)
+    }
+
+    /// Closes any client's connection that is owed nothing; false if there was none.
+    fn spare_any_client(&mut self, now: f64) -> bool {
         let spared = match &mut self.gate {
             Some(gate) => gate.spare(now),
             None => self.idle_client(|_| true),
         };
-        if let Some(id) = spared {
+        self.spare(spared)
+    }
+
+    fn spare(&mut self, client: Option<u64>) -> bool {
+        if let Some(id) = client {
             self.let_go(id, Why::Crowded);
         }
-        spared.is_some()
+        client.is_some()
     }
 
     /// The beginning of a command has come.
--- a/gateway/src/sockets/accept.rs
+++ b/gateway/src/sockets/accept.rs
@@ -48,6 +48,12 @@
             return;
         }
         loop {
+            // Clients that come in a flood are taken in before the reducer has seen the first of them: what the list, the
+            // counter and backends need is kept from them here. At the stop all are taken in that the machine has.
+            if who != Who::Operators && !last && common.clients_full() {
+                crowded(common);
+                break;
+            }
             match listener.inner().accept() {
                 Ok((stream, from)) => {
                     next += 1;
@@ -67,8 +73,7 @@
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
                     tracing::warn!("accept: {e}");
-                    common.short.store(true, Ordering::Relaxed);
-                    common.inbox.push(Event::Crowded);
+                    crowded(common);
                     break;
                 }
             }
@@ -79,3 +84,9 @@
         listener.wait_io();
     }
 }
+
+/// Somebody may have to go; accepting goes on once a descriptor is free.
+fn crowded(common: &Common) {
+    common.short.store(true, Ordering::Relaxed);
+    common.inbox.push(Event::Crowded);
+}
--- a/gateway/src/sockets/link.rs
+++ b/gateway/src/sockets/link.rs
@@ -51,6 +51,9 @@
     most_passing: usize,
     /// Accepting waits for a descriptor.
     pub short: AtomicBool,
+    /// Clients' connections that hold a descriptor, and how many of them may.
+    clients: AtomicUsize,
+    most_clients: usize,
     pub acceptors: AtomicRefCell<Vec<WaitIoWaker>>,
     /// Deliveries that left whole and are not yet counted.
     pub written: AtomicUsize,
@@ -61,8 +64,13 @@
         self.acceptors.borrow().iter().for_each(WaitIoWaker::wakeup);
     }
 
-    /// With so many bytes of memory.
-    pub fn new(inbox: Arc<Inbox>, memory: usize) -> Arc<Common> {
+    /// No more clients are taken in until one of them has let go of its descriptor.
+    pub fn clients_full(&self) -> bool {
+        self.clients.load(Ordering::Relaxed) >= self.most_clients
+    }
+
+    /// With so many bytes of memory, for so many clients at the most.
+    pub fn new(inbox: Arc<Inbox>, memory: usize, most_clients: usize) -> Arc<Common> {
         let scratch = AtomicRefCell::new(vec![0; SCRATCH]);
         let (half, most_half, unread) = (AtomicUsize::new(0), memory / HALF, UNREAD.min(memory / HALF / 16));
         let (short, acceptors, written) =
@@ -82,6 +90,8 @@
             passing,
             most_passing,
             short,
+            clients: AtomicUsize::new(0),
+            most_clients,
             acceptors,
             written,
         })
@@ -122,6 +132,9 @@
 
 impl Drop for Link {
     fn drop(&mut self) {
+        if matches!(self.conn, Conn::Client(_)) {
+            self.common.clients.fetch_sub(1, Ordering::Relaxed);
+        }
         if self.common.short.swap(false, Ordering::Relaxed) {
             self.common.wake_acceptors();
         }
@@ -166,6 +179,9 @@
             counted,
             common,
         });
+        if matches!(conn, Conn::Client(_)) {
+            link.common.clients.fetch_add(1, Ordering::Relaxed);
+        }
         let own = link.clone();
         may::go!(move || own.serve(up));
         Ok(link)
