A start waits at most 1 s for the lock on the shared file; thirty at once are ready whatever the list does

Cause: where operators may call or the socket was passed on, a start waited without end for the lock on the file that two processes share: one that stood still with the lock kept the next from serving. Nothing else that readiness waits on is another process: docs/list-service.md lists it, with its longest time.

Seen to fail before: `a_lock_that_is_never_released...`, not ready in 4.1 s (it would never have been). Thirty processes at once before a service that is mute, refuses or takes 3 s (gateway/tests/readiness.rs) passed before and after.

--- a/gateway/src/life/handover.rs
+++ b/gateway/src/life/handover.rs
@@ -4,17 +4,22 @@
 use crate::sockets::inbox::Inbox;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::fs::{File, TryLockError};
 use std::net::TcpListener;
 use std::os::fd::{BorrowedFd, FromRawFd};
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Names the descriptor of a listening socket that this process inherits.
 pub const PASSED: &str = "EDGE_PASSED_SOCKET";
 /// How often it is looked at for what the other process wrote.
 const LOOK: Duration = Duration::from_millis(100);
+/// How long the lock on the file is waited for, and how often it is tried. A start waits for it: one process that stands
+/// still with the lock must not keep the next from serving.
+const LOCK_WAIT: Duration = Duration::from_secs(1);
+const LOCK_RETRY: Duration = Duration::from_millis(10);
 /// A file that is longer is not ours.
 const LONGEST: u64 = 1024 * 1024;
 
@@ -165,8 +170,7 @@
 /// Reads, changes and writes under a lock: the other process may be at it too, and what it wrote meanwhile, a ban or that
 /// it has come to take over, must not be written over. What the file said, and what it says now.
 fn update(path: &Path, change: impl FnOnce(&mut Kept)) -> (Kept, Result<Kept, String>) {
-    let lock = std::fs::File::create(path.with_extension("lock"));
-    let locked = lock.and_then(|lock| lock.lock().map(|()| lock)).map_err(|e| e.to_string());
+    let locked = lock(&path.with_extension("lock"));
     let before = lenient(read(path));
     let mut now = before.clone();
     change(&mut now);
@@ -174,6 +178,19 @@
     (before, done)
 }
 
+/// Takes the lock, which ends with the file that is given; an error where another process does not release it in time.
+fn lock(path: &Path) -> Result<File, String> {
+    let file = File::create(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let until = Instant::now() + LOCK_WAIT;
+    loop {
+        match file.try_lock() {
+            Ok(()) => return Ok(file),
+            Err(TryLockError::WouldBlock) if Instant::now() < until => std::thread::sleep(LOCK_RETRY),
+            Err(e) => return Err(format!("{}: {e}", path.display())),
+        }
+    }
+}
+
 fn changed(path: &Path, change: Change) -> Result<Kept, String> {
     update(path, |now| change.make(&mut now.out, &mut now.drained)).1
 }
