--- a/load/src/bin/quillramp-load.rs
+++ b/load/src/bin/quillramp-load.rs
@@ -3,6 +3,7 @@
 use quillramp_load::experiment::Experiment;
 use quillramp_load::play;
 use quillramp_load::results::{self, Session};
+use quillramp_load::scale::command::{self, Scale};
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -31,6 +32,11 @@
     Compare { first: PathBuf, second: PathBuf },
     /// Check experiments without playing them.
     Check { experiments: Vec<PathBuf> },
+    /// Measure what one front door of a large fleet costs.
+    Scale {
+        #[command(subcommand)]
+        what: Scale,
+    },
 }
 
 fn read(path: &Path) -> Result<Experiment, String> {
@@ -82,6 +88,10 @@
     let done = match Cli::parse().what {
         What::Run { experiment, out } => run(&experiment, &out),
         What::Compare { first, second } => compare(&first, &second),
+        What::Scale { what } => command::run(&what).map(|text| {
+            let _ = write!(std::io::stdout(), "{text}");
+            ExitCode::SUCCESS
+        }),
         What::Check { experiments } => {
             let wrong: Vec<String> = experiments.iter().filter_map(|p| read(p).err()).collect();
             if wrong.is_empty() {
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod generator;
 pub mod play;
 pub mod results;
+pub mod scale;
 pub mod stage;
 mod standins;
 
--- /dev/null
+++ b/load/src/scale/fit.rs
@@ -0,0 +1,139 @@
+//! Straight lines through measured points.
+use super::rows::Row;
+use std::collections::BTreeMap;
+
+/// A line through the points of one figure over one factor, and how far they lie off it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    /// By one more of the factor.
+    pub slope: f64,
+    pub intercept: f64,
+    /// Root of the mean square of the points' distances from the line.
+    pub residual: f64,
+    /// The same as a part of the mean of the points.
+    pub relative_residual: f64,
+    pub points: usize,
+}
+
+impl Line {
+    /// Through these points by least squares; none where they are fewer than two or all over one value.
+    pub fn through(points: &[(f64, f64)]) -> Option<Line> {
+        let fitted: Result<(f64, f64), _> = linreg::linear_regression_of(points);
+        let (slope, intercept) = fitted.ok()?;
+        let count = points.len() as f64;
+        let squares: f64 = points.iter().map(|(x, y)| (y - slope * x - intercept).powi(2)).sum();
+        let residual = (squares / count).sqrt();
+        let mean = points.iter().map(|(_, y)| y.abs()).sum::<f64>() / count;
+        let relative_residual = if mean > 0.0 { residual / mean } else { 0.0 };
+        Some(Line { slope, intercept, residual, relative_residual, points: points.len() })
+    }
+
+    /// What the line says at that value of the factor.
+    pub fn at(&self, x: f64) -> f64 {
+        self.intercept + self.slope * x
+    }
+}
+
+/// What is varied, one at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, clap::ValueEnum)]
+pub enum Factor {
+    FrontDoors,
+    Backends,
+    Tenants,
+    Routes,
+    Changes,
+    Requests,
+}
+
+/// All factors.
+pub const FACTORS: [Factor; 6] = [
+    Factor::FrontDoors,
+    Factor::Backends,
+    Factor::Tenants,
+    Factor::Routes,
+    Factor::Changes,
+    Factor::Requests,
+];
+
+impl Factor {
+    /// Its name, as runs and charts have it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Factor::FrontDoors => "front doors",
+            Factor::Backends => "backends",
+            Factor::Tenants => "tenants",
+            Factor::Routes => "routes",
+            Factor::Changes => "changes",
+            Factor::Requests => "requests",
+        }
+    }
+
+    /// The unit of one more of it.
+    pub fn unit(self) -> &'static str {
+        match self {
+            Factor::FrontDoors => "front door",
+            Factor::Backends => "backend",
+            Factor::Tenants => "tenant",
+            Factor::Routes => "route",
+            Factor::Changes => "change a second",
+            Factor::Requests => "request a second",
+        }
+    }
+
+    /// Five sizes up to the target's. The target's 231 requests a second are the most that a front door is measured at.
+    pub fn sizes(self) -> [f64; 5] {
+        match self {
+            Factor::FrontDoors => [25.0, 60.0, 120.0, 240.0, 420.0],
+            Factor::Backends => [240.0, 600.0, 1_200.0, 2_400.0, 3_800.0],
+            Factor::Tenants => [900.0, 2_000.0, 4_500.0, 9_000.0, 14_000.0],
+            Factor::Routes => [60.0, 150.0, 300.0, 600.0, 1_000.0],
+            Factor::Changes => [0.0, 0.5, 2.0, 5.0, 10.0],
+            Factor::Requests => [23.0, 58.0, 115.0, 173.0, 231.0],
+        }
+    }
+
+    /// The value of this factor at the point of a row.
+    pub fn of(self, row: &Row) -> f64 {
+        match self {
+            Factor::FrontDoors => row.front_doors as f64,
+            Factor::Backends => row.backends as f64,
+            Factor::Tenants => row.tenants as f64,
+            Factor::Routes => row.routes as f64,
+            Factor::Changes => row.changes,
+            Factor::Requests => row.requests,
+        }
+    }
+
+    /// The name of the runs that vary it.
+    pub fn run(self) -> String {
+        format!("over {}", self.name())
+    }
+}
+
+/// A fitted line with what it is of.
+#[derive(Clone, Debug)]
+pub struct Fit {
+    pub factor: Factor,
+    pub what: String,
+    pub unit: String,
+    pub points: Vec<(f64, f64)>,
+    pub line: Line,
+}
+
+/// Lines through the figures of all runs that vary a factor.
+pub fn fits(rows: &[Row]) -> Vec<Fit> {
+    let mut all = vec![];
+    for factor in FACTORS {
+        let run = factor.run();
+        let mut points: BTreeMap<(&str, &str), Vec<(f64, f64)>> = BTreeMap::new();
+        for row in rows.iter().filter(|r| r.run == run) {
+            points.entry((&row.what, &row.unit)).or_default().push((factor.of(row), row.value));
+        }
+        for ((what, unit), points) in points {
+            if let Some(line) = Line::through(&points) {
+                all.push(Fit { factor, what: what.into(), unit: unit.into(), points, line });
+            }
+        }
+    }
+    all
+}
--- /dev/null
+++ b/load/src/scale/on_sockets.rs
@@ -0,0 +1,289 @@
+//! Hollow front doors with real sockets towards a counter and a list service, many to one thread. Their clients and
+//! backends are in this process.
+use super::agenda::Agenda;
+use super::hollow::{Action, HollowFrontDoor, Parts};
+use super::point::{Point, SERVICE};
+use super::servers;
+use super::traffic::{Answered, Arrivals, Population};
+use mio::net::TcpStream;
+use mio::{Events, Interest, Poll, Token};
+use quillramp_gateway::memory::event::{Conn, Why};
+use std::collections::HashMap;
+use std::io::{ErrorKind, Read, Write};
+use std::ops::Range;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Seconds from a front door to a backend in the same process, one way.
+const LATENCY: f64 = 0.000_25;
+/// The longest sleep.
+const LOOK: Duration = Duration::from_millis(20);
+const EVENTS: usize = 256;
+const SCRATCH: usize = 64 * 1024;
+
+/// Unix time in seconds.
+pub fn unix_now() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64()
+}
+
+enum Item {
+    Step(usize),
+    Arrive(usize),
+    Up(usize, Conn),
+    Receive(usize, Conn, Vec<u8>),
+}
+
+struct Slot {
+    front_door: HollowFrontDoor,
+    arrivals: Arrivals,
+    step_at: f64,
+}
+
+struct Socket {
+    slot: usize,
+    conn: Conn,
+    stream: TcpStream,
+    output: Vec<u8>,
+    up: bool,
+}
+
+/// Front doors of one thread.
+pub struct Group {
+    poll: Poll,
+    agenda: Agenda<Item>,
+    slots: Vec<Slot>,
+    sockets: HashMap<Token, Socket>,
+    tokens: HashMap<(usize, Conn), Token>,
+    next_token: usize,
+    scratch: Vec<u8>,
+}
+
+/// What a group had answered and used at one time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reading {
+    pub answered: Answered,
+    pub processor: Duration,
+}
+
+impl Group {
+    /// Starts the front doors of these numbers.
+    pub fn start(
+        point: &Point,
+        population: &Arc<Population>,
+        front_doors: Range<usize>,
+        parts: Parts,
+    ) -> Result<Group, String> {
+        let poll = Poll::new().map_err(|e| format!("poll: {e}"))?;
+        let (now, mut slots) = (unix_now(), vec![]);
+        for front_door in front_doors {
+            let arrivals = Arrivals::new(point, population, front_door)?;
+            let front_door = HollowFrontDoor::new(now, point, front_door, parts)?;
+            slots.push(Slot { front_door, arrivals, step_at: now });
+        }
+        let mut group = Group {
+            poll,
+            agenda: Agenda::new(now),
+            slots,
+            sockets: HashMap::new(),
+            tokens: HashMap::new(),
+            next_token: 0,
+            scratch: vec![0; SCRATCH],
+        };
+        for slot in 0..group.slots.len() {
+            group.agenda.put(now, Item::Step(slot));
+            if point.requests > 0.0 {
+                group.next_arrival(slot, now);
+            }
+        }
+        Ok(group)
+    }
+
+    /// Serves until that Unix time.
+    pub fn run(&mut self, until: f64) {
+        let mut events = Events::with_capacity(EVENTS);
+        loop {
+            let now = unix_now();
+            if now >= until {
+                return;
+            }
+            while let Some(item) = self.agenda.take(now) {
+                self.happen(item);
+            }
+            let wait = self.agenda.next_at().map_or(LOOK, |at| Duration::from_secs_f64((at - now).max(0.0)));
+            if self.poll.poll(&mut events, Some(wait.min(LOOK))).is_ok() {
+                let ready: Vec<Token> = events.iter().map(|event| event.token()).collect();
+                ready.into_iter().for_each(|token| self.ready(token));
+            }
+        }
+    }
+
+    /// What all of them have answered and used until now.
+    pub fn read(&self) -> Reading {
+        let mut all = Reading::default();
+        for slot in &self.slots {
+            all.answered = all.answered.plus(&slot.front_door.answered);
+            all.processor += slot.front_door.processor;
+        }
+        all
+    }
+
+    fn happen(&mut self, item: Item) {
+        match item {
+            Item::Step(slot) => self.step(slot),
+            Item::Arrive(slot) => {
+                let request = self.slots[slot].arrivals.request();
+                self.slots[slot].front_door.request(&request);
+                self.wake(slot, self.agenda.now);
+                self.next_arrival(slot, self.agenda.now);
+            }
+            Item::Up(slot, conn) => {
+                self.slots[slot].front_door.connected(conn);
+                self.wake(slot, self.agenda.now);
+            }
+            Item::Receive(slot, conn, bytes) => {
+                self.slots[slot].front_door.received(conn, &bytes);
+                self.wake(slot, self.agenda.now);
+            }
+        }
+    }
+
+    fn next_arrival(&mut self, slot: usize, now: f64) {
+        let gap = self.slots[slot].arrivals.gap();
+        self.agenda.put(now + gap, Item::Arrive(slot));
+    }
+
+    fn wake(&mut self, slot: usize, at: f64) {
+        if at < self.slots[slot].step_at {
+            self.slots[slot].step_at = at;
+            self.agenda.put(at, Item::Step(slot));
+        }
+    }
+
+    fn step(&mut self, slot: usize) {
+        let now = unix_now();
+        if self.slots[slot].step_at > now {
+            return; // it was put off since
+        }
+        self.slots[slot].step_at = f64::INFINITY;
+        let (next, actions) = self.slots[slot].front_door.step(now);
+        for action in actions {
+            self.carry_out(slot, action);
+        }
+        if let Some(next) = next {
+            self.wake(slot, next);
+        }
+    }
+
+    fn carry_out(&mut self, slot: usize, action: Action) {
+        let now = self.agenda.now;
+        match action {
+            Action::Dial(conn @ Conn::Backend(_), _) => {
+                self.agenda.put(now + 2.0 * LATENCY, Item::Up(slot, conn));
+            }
+            Action::Dial(conn, to) => {
+                if self.dial(slot, conn, to).is_err() {
+                    self.slots[slot].front_door.ended(conn, Why::Refused);
+                    self.wake(slot, now);
+                }
+            }
+            Action::Send(conn @ Conn::Backend(_), bytes) => {
+                // A front door writes whole commands, one or more.
+                let mut rest = &bytes[..];
+                while let Ok(Some((reply, n))) = servers::invoke(rest) {
+                    self.agenda.put(now + 2.0 * LATENCY + SERVICE, Item::Receive(slot, conn, reply));
+                    rest = &rest[n..];
+                }
+            }
+            Action::Send(conn, bytes) => {
+                let Some(token) = self.tokens.get(&(slot, conn)).copied() else { return };
+                if let Some(socket) = self.sockets.get_mut(&token) {
+                    socket.output.extend_from_slice(&bytes);
+                }
+                if self.flush(token).is_err() {
+                    self.end(token, Why::Reset);
+                }
+            }
+            Action::Close(conn) => {
+                let token = self.tokens.remove(&(slot, conn));
+                if let Some(mut socket) = token.and_then(|token| self.sockets.remove(&token)) {
+                    let _ = self.poll.registry().deregister(&mut socket.stream);
+                    // it ends now in any case
+                }
+            }
+        }
+    }
+
+    // ======== sockets
+
+    fn dial(&mut self, slot: usize, conn: Conn, to: std::net::SocketAddr) -> std::io::Result<()> {
+        let mut stream = TcpStream::connect(to)?;
+        stream.set_nodelay(true)?;
+        let token = Token(self.next_token);
+        self.next_token += 1;
+        self.poll.registry().register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
+        self.sockets.insert(token, Socket { slot, conn, stream, output: vec![], up: false });
+        self.tokens.insert((slot, conn), token);
+        Ok(())
+    }
+
+    fn ready(&mut self, token: Token) {
+        let Some(socket) = self.sockets.get_mut(&token) else { return };
+        let slot = socket.slot;
+        if !socket.up {
+            match (socket.stream.take_error(), socket.stream.peer_addr()) {
+                (Ok(None), Ok(_)) => {
+                    socket.up = true;
+                    self.slots[slot].front_door.connected(socket.conn);
+                }
+                (Ok(None), Err(e)) if e.kind() == ErrorKind::NotConnected => return,
+                _ => return self.end(token, Why::Refused),
+            }
+        }
+        let why = match self.read_all(token).and_then(|()| self.flush(token)) {
+            Ok(()) => None,
+            Err(e) if e.kind() == ErrorKind::UnexpectedEof => Some(Why::Closed),
+            Err(_) => Some(Why::Reset),
+        };
+        if let Some(why) = why {
+            self.end(token, why);
+        }
+        self.wake(slot, self.agenda.now);
+    }
+
+    fn read_all(&mut self, token: Token) -> std::io::Result<()> {
+        while let Some(socket) = self.sockets.get_mut(&token) {
+            match socket.stream.read(&mut self.scratch) {
+                Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+                Ok(n) => self.slots[socket.slot].front_door.received(socket.conn, &self.scratch[..n]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
+    fn flush(&mut self, token: Token) -> std::io::Result<()> {
+        let Some(socket) = self.sockets.get_mut(&token).filter(|s| s.up) else { return Ok(()) };
+        let mut done = 0;
+        while done < socket.output.len() {
+            match socket.stream.write(&socket.output[done..]) {
+                Ok(n) => done += n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        socket.output.drain(..done);
+        Ok(())
+    }
+
+    /// A connection ended, and the front door hears of it.
+    fn end(&mut self, token: Token, why: Why) {
+        let Some(mut socket) = self.sockets.remove(&token) else { return };
+        let _ = self.poll.registry().deregister(&mut socket.stream); // it ends now in any case
+        self.tokens.remove(&(socket.slot, socket.conn));
+        self.slots[socket.slot].front_door.ended(socket.conn, why);
+        self.wake(socket.slot, self.agenda.now);
+    }
+}
--- /dev/null
+++ b/load/src/scale/operator_file.rs
@@ -0,0 +1,21 @@
+//! An operator's file with so many routes, each for a few tenants of its own.
+use super::point::Point;
+use std::fmt::Write;
+
+/// Tenants that a route names at the most; the rest has none.
+const TENANTS_OF_A_ROUTE: usize = 14;
+
+/// The text of the file; none where the point has no routes.
+pub fn text(point: &Point) -> Option<String> {
+    if point.routes == 0 {
+        return None;
+    }
+    let mut text = String::from("[[class]]\nname = \"two tries\"\nattempts = 2\n");
+    let each = (point.tenants / point.routes).clamp(1, TENANTS_OF_A_ROUTE);
+    for route in 0..point.routes {
+        let tenants = (0..each).map(|n| (route * each + n) % point.tenants);
+        let named: Vec<String> = tenants.map(|tenant| format!("\"{tenant:016x}\"")).collect();
+        let _ = write!(text, "\n[[route]]\ncustomers = [{}]\nclass = \"two tries\"\n", named.join(", "));
+    }
+    Some(text)
+}
--- /dev/null
+++ b/load/src/scale/point.rs
@@ -0,0 +1,158 @@
+//! One point of a scale run: the sizes of the fleet, its traffic and how that is spread over the tenants.
+use quillramp_emulator::play::settings;
+use quillramp_emulator::script::World;
+use rand::distributions::WeightedIndex;
+use serde_json::{json, Value};
+
+/// How the requests of the fleet are spread over its tenants.
+#[derive(Clone, Copy, Debug, PartialEq, clap::ValueEnum)]
+pub enum Spread {
+    /// Every tenant asks as often as any other.
+    Uniform,
+    /// The tenant of rank n asks 1/n as often as the first (Zipf's law, exponent 1).
+    Zipf,
+}
+
+impl Spread {
+    /// The name of the spread, as the rows have it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Spread::Uniform => "uniform",
+            Spread::Zipf => "zipf",
+        }
+    }
+}
+
+/// The sizes of one measurement.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Point {
+    /// Seed of traffic and decisions.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Front doors that each front door believes to be in the fleet.
+    #[arg(long, default_value_t = 420)]
+    pub front_doors: usize,
+    /// Backends on the list.
+    #[arg(long, default_value_t = 3_800)]
+    pub backends: usize,
+    /// Tenants, each with a quota of its own.
+    #[arg(long, default_value_t = 14_000)]
+    pub tenants: usize,
+    /// Requests a second of the whole fleet; the quotas follow from it.
+    #[arg(long, default_value_t = 97_000.0)]
+    pub fleet_requests: f64,
+    /// Requests a second that one front door gets here.
+    #[arg(long, default_value_t = 231.0)]
+    pub requests: f64,
+    /// Routes in the operator's file, each for a few tenants of its own; without any there is no such file.
+    #[arg(long, default_value_t = 0)]
+    pub routes: usize,
+    /// Changes of the list a second: a backend drains, or serves again.
+    #[arg(long, default_value_t = 0.0)]
+    pub changes: f64,
+    /// How the requests are spread over the tenants.
+    #[arg(long, value_enum, default_value_t = Spread::Uniform)]
+    pub spread: Spread,
+    /// The front door is told that there is no counter.
+    #[arg(long)]
+    pub without_counter: bool,
+    /// The stand-in counter adds nothing for the front doors that are not there.
+    #[arg(long)]
+    pub alone: bool,
+}
+
+/// A tenant's quota: its plan, and the requests a second that the whole fleet gets for it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tenant {
+    /// Index of its plan in `PLANS`.
+    pub plan: usize,
+    /// Requests a second at all front doors together.
+    pub offered: f64,
+}
+
+/// Quotas there are: the smallest in units a second, each next one twice the one before; 7 is one of them.
+const SMALLEST_QUOTA: f64 = 7.0 / 16.0;
+/// How many: the largest is above the share that Zipf's first of 900 tenants has of 97,000 requests.
+const PLANS: usize = 16;
+/// Seconds of its quota that a tenant may have at once, as the emulator's plans have it.
+const BURST_SECONDS: f64 = 2.0;
+/// The slowest that a backend of these runs answers, seconds.
+pub const SERVICE: f64 = 0.005;
+
+/// Units a second of a plan.
+pub fn quota(plan: usize) -> f64 {
+    SMALLEST_QUOTA * f64::powi(2.0, plan as i32)
+}
+
+/// Units that a plan allows at once.
+pub fn burst(plan: usize) -> f64 {
+    quota(plan) * BURST_SECONDS
+}
+
+/// The name of a plan in the settings.
+pub fn plan_name(plan: usize) -> String {
+    format!("plan{plan}")
+}
+
+impl Point {
+    /// The arguments that say the same again.
+    pub fn arguments(&self) -> Vec<String> {
+        let numbers = [
+            ("--seed", self.seed.to_string()),
+            ("--front-doors", self.front_doors.to_string()),
+            ("--backends", self.backends.to_string()),
+            ("--tenants", self.tenants.to_string()),
+            ("--fleet-requests", self.fleet_requests.to_string()),
+            ("--requests", self.requests.to_string()),
+            ("--routes", self.routes.to_string()),
+            ("--changes", self.changes.to_string()),
+            ("--spread", self.spread.name().to_owned()),
+        ];
+        let mut words: Vec<String> =
+            numbers.into_iter().flat_map(|(name, is)| [name.to_owned(), is]).collect();
+        words.extend(self.without_counter.then(|| "--without-counter".to_owned()));
+        words.extend(self.alone.then(|| "--alone".to_owned()));
+        words
+    }
+
+    /// The share of all requests that each tenant makes, not normed.
+    fn weights(&self) -> Vec<f64> {
+        let weight = |rank: usize| match self.spread {
+            Spread::Uniform => 1.0,
+            Spread::Zipf => 1.0 / rank as f64,
+        };
+        (1..=self.tenants).map(weight).collect()
+    }
+
+    /// Draws tenants by their shares; an error where there are none.
+    pub fn draw(&self) -> Result<WeightedIndex<f64>, String> {
+        WeightedIndex::new(self.weights()).map_err(|e| format!("tenants: {e}"))
+    }
+
+    /// Each tenant with the smallest quota that holds what the fleet gets for it.
+    pub fn tenants(&self) -> Vec<Tenant> {
+        let weights = self.weights();
+        let all: f64 = weights.iter().sum();
+        let tenant = |weight: f64| {
+            let offered = self.fleet_requests * weight / all;
+            let plan = (0..PLANS - 1).find(|p| quota(*p) >= offered).unwrap_or(PLANS - 1);
+            Tenant { plan, offered }
+        };
+        weights.into_iter().map(tenant).collect()
+    }
+
+    /// What the configuration of a front door says of the platform.
+    pub fn settings(&self, slot: usize) -> Value {
+        let world =
+            World { doors: self.front_doors, backends: self.backends, peers: false, ..World::default() };
+        let mut told = settings(&world, None);
+        told["slot_no"] = json!(slot);
+        told["extra"]["counter"] = json!(!self.without_counter);
+        let plan = |p: usize| {
+            json!({"name": plan_name(p), "per_second": quota(p), "depth": burst(p), "parallel": 0,
+                   "ceiling_rate": 0.0, "ceiling_slack": 0.0, "hard_burst": 0.0})
+        };
+        told["tariffs"] = (0..PLANS).map(plan).collect();
+        told
+    }
+}
