--- a/docs/measured/capacity/tools/counter_cost.py
+++ b/docs/measured/capacity/tools/counter_cost.py
@@ -78,7 +78,7 @@
         for j in range(number):
             command += ["--member", f"{j + 1}=127.0.0.1:{peers[j]}"]
         logs.append(folder / f"member-{i + 1}.log")
-        members.append(subprocess.Popen(command, stderr=logs[-1].open("w")))
+        members.append(subprocess.Popen(command, stderr=logs[-1].open("w"), stdout=subprocess.DEVNULL))
     return members, calls, logs
 
 
@@ -107,6 +107,7 @@
     after = [(processes.processor_seconds(m.pid), processes.bytes_written(m.pid)) for m in members]
     threads = [processes.status(m.pid, "Threads") for m in members]
     memory = [processes.status(m.pid, "VmRSS") for m in members]
+    peaks = [processes.status(m.pid, "VmHWM") for m in members]
     found = [results.get() for _ in callers]
     for caller in callers:
         caller.join()
@@ -119,7 +120,7 @@
             arguments.members, i + 1, "leader" if leader == i + 1 else "follower", arguments.connections, rate,
             round(sent / arguments.seconds), round(well / arguments.seconds), sent - answered,
             round((after[i][0] - before[i][0]) / span, 4), round((after[i][1] - before[i][1]) / span),
-            memory[i], threads[i], round(out / max(sent, 1), 1), round(into / max(answered, 1), 1),
+            memory[i], peaks[i], threads[i], round(out / max(sent, 1), 1), round(into / max(answered, 1), 1),
             round(quantile(0.5), 2), round(quantile(0.99), 2),
         ])
     sys.stdout.flush()
@@ -127,7 +128,7 @@
 
 HEAD = [
     "members", "member", "role", "connections", "offered_calls_s", "sent_calls_s", "well_calls_s", "unanswered",
-    "cores", "disk_write_bytes_s", "rss_kb", "threads", "request_bytes", "response_bytes", "median_ms", "p99_ms",
+    "cores", "disk_write_bytes_s", "rss_kb", "peak_rss_kb", "threads", "request_bytes", "response_bytes", "median_ms", "p99_ms",
 ]
 
 
--- a/docs/measured/capacity/tools/front_door_cost.py
+++ b/docs/measured/capacity/tools/front_door_cost.py
@@ -25,6 +25,7 @@
 SETTLE_SECONDS = 1.5
 START_LIMIT_SECONDS = 20.0
 FIRST_INDEX = 41
+CONTRACT_RATE = 6.9  # units a second: 97,000 over 14,000 tenants
 
 
 class Listing:
@@ -108,11 +109,16 @@
     return file
 
 
-def operator_file(folder, routes):
-    """An operator's file with so many routes of one customer each, none covering another."""
+def operator_file(folder, routes, contracts):
+    """An operator's file with so many routes, and contracts, of one customer each, none covering another."""
     lines = ['[[class]]', 'name = "one try"', 'attempts = 1', '']
     for i in range(routes):
         lines += ["[[route]]", 'operations = ["look"]', f'customers = ["{(1 << 31) + i:016x}"]', 'class = "one try"', ""]
+    if contracts:
+        lines += ["[broker]", f"capacity = {CONTRACT_RATE * contracts + 1.0}", 'strangers = "pass"', ""]
+    for i in range(contracts):
+        customer = f'customers = ["{(1 << 31) + i:016x}"]'
+        lines += ["[[contract]]", f'team = "t{i:05}"', f"rate = {CONTRACT_RATE}", customer, ""]
     file = pathlib.Path(folder) / "operator.toml"
     file.write_text("\n".join(lines))
     return file
@@ -136,7 +142,7 @@
     raise SystemExit("the front door was not ready in time")
 
 
-def point(arguments, backends, changes, routes, writer):
+def point(arguments, backends, changes, routes, contracts, writer):
     """One fresh front door at these sizes; writes a row."""
     with tempfile.TemporaryDirectory() as folder:
         port, counter = processes.free_ports(2)
@@ -145,8 +151,8 @@
         threading.Thread(target=server.serve_forever, daemon=True).start()
         environment = dict(os.environ, TMPDIR=folder)
         environment["EDGE_CONFIG"] = str(configuration(arguments.example, folder, port, server.server_address[1], counter, arguments.doors))
-        file = operator_file(folder, routes)
-        if routes:
+        file = operator_file(folder, routes, contracts)
+        if routes or contracts:
             environment["EDGE_OPERATOR"] = str(file)
         with open(pathlib.Path(folder) / "log", "w") as log:
             process = subprocess.Popen([arguments.program], env=environment, stdout=log, stderr=log)
@@ -177,14 +183,14 @@
                 process.wait()
                 server.shutdown()
         writer.writerow([
-            backends, changes, routes, file.stat().st_size if routes else 0, round(ready, 3), start_bytes, round(start_cores, 4), memory, peak,
+            backends, changes, routes, contracts, file.stat().st_size if routes or contracts else 0, round(ready, 3), start_bytes, round(start_cores, 4), memory, peak,
             round(span, 2), made, answers, round(list_bytes / span, 1), round(spent / span, 6), round(reload, 4),
         ])
         sys.stdout.flush()
 
 
 HEAD = [
-    "backends", "changes_s", "routes", "operator_file_bytes", "ready_s", "start_list_bytes", "start_processor_s", "rss_kb", "peak_rss_kb",
+    "backends", "changes_s", "routes", "contracts", "operator_file_bytes", "ready_s", "start_list_bytes", "start_processor_s", "rss_kb", "peak_rss_kb",
     "span_s", "changes", "list_answers", "list_bytes_s", "cores", "reload_processor_s",
 ]
 
@@ -195,14 +201,14 @@
     parser.add_argument("--example", default="examples/configuration.json")
     parser.add_argument("--doors", type=int, default=420)
     parser.add_argument("--seconds", type=float, default=4.0)
-    parser.add_argument("--points", default="240:0:0", help="BACKENDS:CHANGES_A_SECOND:ROUTES, separated by commas")
+    parser.add_argument("--points", default="240:0:0", help="BACKENDS:CHANGES_A_SECOND:ROUTES[:CONTRACTS], separated by commas")
     arguments = parser.parse_args()
     print("# front_door_cost.py", " ".join(sys.argv[1:]))
     writer = csv.writer(sys.stdout)
     writer.writerow(HEAD)
     for text in arguments.points.split(","):
-        backends, changes, routes = text.split(":")
-        point(arguments, int(backends), float(changes), int(routes), writer)
+        backends, changes, routes, contracts = (text.split(":") + ["0"])[:4]
+        point(arguments, int(backends), float(changes), int(routes), int(contracts), writer)
 
 
 if __name__ == "__main__":
