--- a/docs/measured/capacity/tools/counter_cost.py
+++ b/docs/measured/capacity/tools/counter_cost.py
@@ -29,10 +29,11 @@
 WELL = b"HTTP/1.1 200"
 
 
-def drive(ports, rate, seconds, tenants, series, seed, result):
+def drive(ports, rate, seconds, tenants, series, seed, connected, result):
     """Sends `rate` calls a second for `seconds`, one a write; puts counts, bytes and latencies into `result`."""
     chance = random.Random(seed)
     poll, links = select.epoll(), {}
+    began = time.monotonic()
     for port in ports:
         s = socket.create_connection(("127.0.0.1", port))
         s.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -42,6 +43,8 @@
     order = list(links.values())
     sent = sent_bytes = answered = well = received_bytes = 0
     took = []
+    connect_seconds = time.monotonic() - began
+    connected.wait()
     began = time.monotonic()
     while True:
         now = time.monotonic()
@@ -65,7 +68,7 @@
             for _ in range(min(body.count(ANSWER), len(out))):
                 answered += 1
                 took.append(heard - out.popleft())
-    result.put((sent, answered, well, sent_bytes, received_bytes, took, time.monotonic() - began))
+    result.put((sent, answered, well, sent_bytes, received_bytes, took, connect_seconds))
 
 
 def start_members(program, number, folder):
@@ -92,13 +95,15 @@
     """One point: drives the members at a rate and writes a row for each member."""
     each = [ports[i % len(ports)] for i in range(arguments.connections)]
     results, callers = multiprocessing.Queue(), []
+    connected = multiprocessing.Barrier(arguments.callers + 1)
     half = (len(each) + arguments.callers - 1) // arguments.callers
     for c in range(arguments.callers):
         mine = each[c * half:(c + 1) * half]
-        given = (mine, rate / arguments.callers, arguments.seconds, arguments.tenants, series, c, results)
+        given = (mine, rate / arguments.callers, arguments.seconds, arguments.tenants, series, c, connected, results)
         callers.append(multiprocessing.Process(target=drive, args=given))
     for caller in callers:
         caller.start()
+    connected.wait()
     time.sleep(SETTLE_SECONDS)
     before = [(processes.processor_seconds(m.pid), processes.bytes_written(m.pid)) for m in members]
     began = time.monotonic()
@@ -121,14 +126,14 @@
             round(sent / arguments.seconds), round(well / arguments.seconds), sent - answered,
             round((after[i][0] - before[i][0]) / span, 4), round((after[i][1] - before[i][1]) / span),
             memory[i], peaks[i], threads[i], round(out / max(sent, 1), 1), round(into / max(answered, 1), 1),
-            round(quantile(0.5), 2), round(quantile(0.99), 2),
+            round(quantile(0.5), 2), round(quantile(0.99), 2), round(max(f[6] for f in found), 2),
         ])
     sys.stdout.flush()
 
 
 HEAD = [
     "members", "member", "role", "connections", "offered_calls_s", "sent_calls_s", "well_calls_s", "unanswered",
-    "cores", "disk_write_bytes_s", "rss_kb", "peak_rss_kb", "threads", "request_bytes", "response_bytes", "median_ms", "p99_ms",
+    "cores", "disk_write_bytes_s", "rss_kb", "peak_rss_kb", "threads", "request_bytes", "response_bytes", "median_ms", "p99_ms", "connect_s",
 ]
 
 
--- a/docs/measured/capacity/tools/front_door_cost.py
+++ b/docs/measured/capacity/tools/front_door_cost.py
@@ -159,7 +159,7 @@
             try:
                 ready = wait_until_ready(port, process)
                 time.sleep(SETTLE_SECONDS)
-                start_cores = processes.processor_seconds(process.pid)
+                start_cores = processes.processor_seconds_of_threads(process.pid)
                 start_bytes = listing.sent_bytes
                 memory, peak = processes.status(process.pid, "VmRSS"), processes.status(process.pid, "VmHWM")
                 before, answers, began = start_cores, listing.answers, time.monotonic()
@@ -171,13 +171,13 @@
                     else:
                         time.sleep(0.002)
                 span = time.monotonic() - began
-                spent = processes.processor_seconds(process.pid) - before
+                spent = processes.processor_seconds_of_threads(process.pid) - before
                 list_bytes = listing.sent_bytes - start_bytes
                 answers = listing.answers - answers
-                before = processes.processor_seconds(process.pid)
+                before = processes.processor_seconds_of_threads(process.pid)
                 process.send_signal(signal.SIGHUP)
                 time.sleep(SETTLE_SECONDS)
-                reload = processes.processor_seconds(process.pid) - before
+                reload = processes.processor_seconds_of_threads(process.pid) - before
             finally:
                 process.terminate()
                 process.wait()
--- a/docs/measured/capacity/tools/processes.py
+++ b/docs/measured/capacity/tools/processes.py
@@ -1,11 +1,18 @@
 """Reads what Linux says of a process: processor time, memory, threads and bytes written."""
 
+import os
 import pathlib
 import socket
 
 
 def processor_seconds(pid):
-    """Processor seconds of all threads of a process that are alive (scheduler statistics, nanoseconds)."""
+    """Processor seconds of a process, in steps of a clock tick (10 ms); of threads that have ended too."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def processor_seconds_of_threads(pid):
+    """Processor seconds of the threads that a process has now (scheduler statistics, nanoseconds)."""
     total = 0
     for task in pathlib.Path(f"/proc/{pid}/task").iterdir():
         total += int((task / "schedstat").read_text().split()[0])
