What waits in a buffer is taken back when its client leaves, and its end is always read

Two ways were open in which an attempt began long after its client had closed its connection.

A delivery behind another one in a shared connection's buffer left when the backend read on, though its client had gone, it had been called off, or its backend drained by then. The output buffer (memory/outgoing.rs) now knows where each delivery lies. `Effect::Withdraw` takes one out of which no byte has been written, `Event::Withdrawn` tells the reducer, and it ends as NotSent: it has never run and may go elsewhere. What is half written is finished. Asked for when a client leaves, time is up, a delivery on a shared connection is called off, or a backend drains or is taken out by hand (memory/list.rs and operators.rs, one line each). Statistics count deliveries as they leave, not when the buffer is empty.

A FIN lies behind what the client wrote. With 512 commands unanswered and more than 1 MiB behind them nothing was read, nor behind a long body without room, so the end was not seen; and after a wait for room a command was taken before the end right behind it. Now a client is read from as long as anything of it waits. Where the bound on what is kept is reached, commands are dropped as they come, counted, and each refused with -BUSY in its turn (memory/backlog.rs); after 65,536 the connection ends. 1 MiB a turn, again after 2 ms through the alarm, so that nobody else waits. A client that reads no answers is still left unread: if it closes, the machine tells by a reset. A connection with commands read and not decoded does not part.

The emulator's process uses the same buffer; its arms for the new effect are in emulator/src/door.rs.

The emulator's tests were not yet run.

Considered and not built: to refuse everything past 512 commands (a pipelining client would lose what it is served today).

Test changed: tests/reducer.rs prints the new effect and names fields of `Deliver`; no expectation differs.

--- a/emulator/src/door.rs
+++ b/emulator/src/door.rs
@@ -5,6 +5,7 @@
 use quillramp::types::Effect as Repeats;
 use quillramp_gateway::memory::event::{Change, Conn, Declares, Effect, Event, Shared, Why};
 use quillramp_gateway::memory::intake::{Hears, Intake};
+use quillramp_gateway::memory::outgoing::Outgoing;
 use quillramp_gateway::memory::reducer::{Parties, Reducer};
 use quillramp_gateway::wire::listing::Listing;
 use quillramp_gateway::wire::resp::{Answer, Call};
@@ -50,7 +51,7 @@
     up: bool,
     intake: Intake,
     got: Vec<u8>,
-    out: Vec<u8>,
+    out: Outgoing,
     /// A backend's: the client that a value passes to.
     passes_to: Option<Conn>,
     muted: bool,
@@ -61,7 +62,7 @@
 
 impl Open {
     fn new(wire: WireId, conn: Conn, up: bool) -> Open {
-        let (got, out) = (vec![], vec![]);
+        let (got, out) = (vec![], Outgoing::default());
         Open {
             wire,
             up,
@@ -289,7 +290,7 @@
         }
         if let Some(to) = to.filter(|_| !heard.pieces.is_empty()) {
             if let Some(client) = self.conns.get_mut(&to) {
-                client.out.append(&mut heard.pieces);
+                client.out.buffer().append(&mut heard.pieces);
                 self.flush(ctx, to);
             }
         }
@@ -386,12 +387,20 @@
                 let Some(open) = self.conns.get_mut(&conn) else { return };
                 let known = ctx.wires.get(&open.wire).is_some_and(|w| w.known);
                 ctx.rules.turned_away(ctx.now, open.wire, known, why);
-                Answer::Error(why.into()).encode(&mut open.out);
+                Answer::Error(why.into()).encode(open.out.buffer());
+            }
+            Effect::Deliver { connection, delivery, call, wait_ms } => {
+                self.deliver(ctx, (Conn::Backend(connection), delivery), &call, wait_ms)
+            }
+            Effect::Withdraw { connection, delivery } => {
+                let open = self.conns.get_mut(&Conn::Backend(connection));
+                if open.is_some_and(|o| o.out.withdraw(delivery)) {
+                    self.tell(ctx, Event::Withdrawn { connection, delivery });
+                }
             }
-            Effect::Deliver(id, call, wait) => self.deliver(ctx, Conn::Backend(id), &call, wait),
             Effect::Respond(id, response) => {
                 if let Some(open) = self.conns.get_mut(&Conn::Operator(id)) {
-                    response.encode(&mut open.out);
+                    response.encode(open.out.buffer());
                 }
             }
             Effect::Keep(call, change) => outside.push(Outside::Keep { call, change }),
@@ -420,7 +429,7 @@
             }
             Effect::Request(conn, request) => {
                 if let Some(open) = self.conns.get_mut(&conn) {
-                    request.encode(self.own, &mut open.out);
+                    request.encode(self.own, open.out.buffer());
                 }
             }
             Effect::Connect(conn, to) => {
@@ -475,27 +484,29 @@
             answer => answer,
         };
         let Some(open) = self.conns.get_mut(&conn).filter(|_| !swallows) else { return };
-        answer.encode(&mut open.out);
+        answer.encode(open.out.buffer());
         if twice {
-            answer.encode(&mut open.out);
+            answer.encode(open.out.buffer());
         }
     }
 
-    fn deliver(&mut self, ctx: &mut Ctx, conn: Conn, call: &Call, wait: u64) {
+    fn deliver(&mut self, ctx: &mut Ctx, (conn, number): (Conn, u64), call: &Call, wait_ms: u64) {
         let once = self.effects.get(call.operation()) == Some(&Repeats::NonIdempotent);
         let twice = once && self.broken == Some(Sabotage::RepeatsOrders) && ctx.chance(0.05);
         let Some(open) = self.conns.get_mut(&conn) else { return };
-        call.encode(wait, &mut open.out);
-        if twice {
-            call.encode(wait, &mut open.out);
-        }
+        open.out.append(number, |buffer| {
+            call.encode(wait_ms, buffer);
+            if twice {
+                call.encode(wait_ms, buffer);
+            }
+        });
     }
 
     fn pass(&mut self, ctx: &mut Ctx, conn: Conn, to: Option<Conn>) {
         let Some(left) = self.conns.get_mut(&conn).and_then(|o| o.intake.passes()) else { return };
         let to = to.filter(|to| self.conns.contains_key(to));
         if let Some(client) = to.and_then(|to| self.conns.get_mut(&to)) {
-            client.out.extend_from_slice(format!("${left}\r\n").as_bytes());
+            client.out.buffer().extend_from_slice(format!("${left}\r\n").as_bytes());
         }
         self.conns.get_mut(&conn).expect("just found").passes_to = to;
         self.decode(ctx, conn);
@@ -508,10 +519,12 @@
     fn flush(&mut self, ctx: &mut Ctx, conn: Conn) {
         let Some(open) = self.conns.get_mut(&conn) else { return };
         let Some(wire) = ctx.wires.get(&open.wire) else { return };
-        let mut out = std::mem::take(&mut open.out);
-        if wire.choked > ctx.now && matches!(conn, Conn::Backend(_)) {
+        let choked = wire.choked > ctx.now && matches!(conn, Conn::Backend(_));
+        let length = if choked { open.out.len() / 2 } else { open.out.len() };
+        let out = open.out.bytes()[..length].to_vec();
+        open.out.written(length);
+        if choked {
             let at = wire.choked;
-            open.out = out.split_off(out.len() / 2);
             self.wake(ctx, at);
         }
         let wire = self.conns[&conn].wire;
--- a/gateway/src/memory/backends.rs
+++ b/gateway/src/memory/backends.rs
@@ -19,8 +19,8 @@
             self.held[inv].as_mut().expect("held").ends = Some(ends);
         }
         if let Some(id) = id {
-            self.links.get_mut(&id).expect("idle ones are kept").carries.push_back(Some((inv, delivery)));
-            return self.write(now, id, inv);
+            let number = self.links.get_mut(&id).expect("idle ones are kept").carry(inv, delivery);
+            return self.write(now, (id, number), inv);
         }
         self.room(now);
         if self.short() {
@@ -31,8 +31,9 @@
         };
         let id = self.new_conn();
         self.held[inv].as_mut().expect("held").deliveries[delivery].link = Some(id);
-        let carries = [Some((inv, delivery))].into();
-        self.links.insert(id, Link { tgt, up: false, carries, since: now });
+        let mut link = Link::new(tgt, now);
+        link.carry(inv, delivery);
+        self.links.insert(id, link);
         self.effects.push(Effect::Connect(Conn::Backend(id), address));
         self.at(now + self.about.dial_timeout, Due::Dial(id));
     }
@@ -44,26 +45,29 @@
         let Some((&id, link)) = up.min_by_key(|(id, l)| (l.carries.len(), **id)) else {
             return self.ended.push((inv, delivery, Ending::NotConnected, Beside::default()));
         };
-        link.carries.push_back(Some((inv, delivery)));
+        let number = link.carry(inv, delivery);
         self.held[inv].as_mut().expect("held").deliveries[delivery].link = Some(id);
-        self.write(now, id, inv);
+        self.write(now, (id, number), inv);
     }
 
-    pub(super) fn write(&mut self, now: f64, id: u64, inv: Inv) {
+    /// Writes this numbered delivery of the invocation to its connection.
+    fn write(&mut self, now: f64, (connection, delivery): (u64, u64), inv: Inv) {
         let held = self.held[inv].as_ref().expect("held");
-        let wait = ((held.ask.until - now) * 1e3).max(1.0) as u64;
-        self.effects.push(Effect::Deliver(id, held.call.clone(), wait));
+        let wait_ms = ((held.ask.until - now) * 1e3).max(1.0) as u64;
+        self.effects.push(Effect::Deliver { connection, delivery, call: held.call.clone(), wait_ms });
     }
 
     pub(super) fn up(&mut self, now: f64, id: u64) {
         let Some(link) = self.links.get_mut(&id) else { return };
         link.up = true;
-        let (tgt, carried) = (link.tgt, link.carries.front().copied().flatten());
-        let Some((inv, delivery)) = carried else { return self.rest(now, id) };
+        let tgt = link.tgt;
+        let Some(&Carried { number, delivery: Some((inv, delivery)) }) = link.carries.front() else {
+            return self.rest(now, id);
+        };
         // It came up late: the invocation may be over by now, or its backend drain.
         let open = self.held[inv].as_ref().is_some_and(|h| !h.closed && now < h.ask.until);
         if open && self.places[tgt].takes() {
-            return self.write(now, id, inv);
+            return self.write(now, (id, number), inv);
         }
         link.carries.clear();
         self.end_delivery(inv, delivery, Ending::NotSent, Beside::default());
@@ -92,7 +96,7 @@
     pub(super) fn replied(&mut self, now: f64, id: u64, reply: Reply, more: bool) {
         let Some(link) = self.links.get_mut(&id) else { return };
         let Some(front) = link.carries.pop_front() else { return self.unasked(id) };
-        if let Some((inv, delivery)) = front {
+        if let Some((inv, delivery)) = front.delivery {
             match reply {
                 Reply::Value { value, billed, report } => {
                     self.answer(now, inv, Answer::Value(value));
@@ -139,7 +143,7 @@
     /// one all the same: its backend is no worse than one that says it failed.
     pub(super) fn link_ended(&mut self, now: f64, id: u64, unsent: bool, why: Why) {
         let Some(mut link) = self.links.remove(&id) else { return };
-        if let Some((inv, delivery)) = link.carries.front().copied().flatten() {
+        if let Some((inv, delivery)) = link.front() {
             self.broke_off(now, inv, delivery);
         }
         self.places[link.tgt].idle.retain(|i| *i != id);
@@ -148,7 +152,7 @@
             let broke = if why == Why::BadFraming { Ending::Errored } else { Ending::Broken };
             let ending = if unsent { Ending::NotConnected } else { broke };
             unsent = !link.up;
-            if let Some((inv, delivery)) = last {
+            if let Some((inv, delivery)) = last.delivery {
                 self.end_delivery(inv, delivery, ending, Beside::default());
             }
         }
@@ -159,7 +163,45 @@
     pub(super) fn stays_out(&self, inv: Inv, delivery: usize) -> bool {
         let held = self.held[inv].as_ref().filter(|h| !h.closed);
         let link = held.and_then(|h| h.deliveries[delivery].link).and_then(|id| self.links.get(&id));
-        link.is_some_and(|l| l.carries.iter().any(|c| c.is_some_and(|c| c != (inv, delivery))))
+        link.is_some_and(|l| l.carries.iter().any(|c| c.delivery.is_some_and(|d| d != (inv, delivery))))
+    }
+
+    /// Takes a delivery back that stands in its connection's buffer with no byte of it written; whether it did, an
+    /// event tells.
+    pub(super) fn withdraw(&mut self, inv: Inv, delivery: usize) {
+        let connection = self.held[inv].as_ref().and_then(|h| h.deliveries[delivery].link);
+        let Some((connection, link)) = connection.and_then(|id| self.links.get(&id).map(|l| (id, l))) else {
+            return;
+        };
+        let own = link.carries.iter().find(|c| c.delivery == Some((inv, delivery)));
+        if let Some(own) = own.filter(|_| link.up) {
+            self.effects.push(Effect::Withdraw { connection, delivery: own.number });
+        }
+    }
+
+    /// Takes all back that waits in buffers for backends which may get nothing new any more.
+    pub(super) fn withdraw_from_drained(&mut self) {
+        let drained = self.links.iter().filter(|(_, l)| l.up && !self.places[l.tgt].takes());
+        let all = drained.flat_map(|(id, l)| l.carries.iter().map(|c| (*id, c.number)));
+        let mut all: Vec<(u64, u64)> = all.collect();
+        all.sort_unstable();
+        let withdraw = |(connection, delivery)| Effect::Withdraw { connection, delivery };
+        self.effects.extend(all.into_iter().map(withdraw));
+    }
+
+    /// A delivery was taken back in time: it has never run, and may go elsewhere.
+    pub(super) fn withdrawn(&mut self, now: f64, connection: u64, number: u64) {
+        let Some(link) = self.links.get_mut(&connection) else { return };
+        let Some(position) = link.carries.iter().position(|c| c.number == number) else { return };
+        let carried = link.carries.remove(position).expect("just found");
+        let abandoned = link.is_abandoned();
+        if let Some((inv, delivery)) = carried.delivery {
+            self.end_delivery(inv, delivery, Ending::NotSent, Beside::default());
+        }
+        if abandoned {
+            return self.close_link(connection, Why::GaveUp);
+        }
+        self.rest(now, connection);
     }
 
     /// Whatever is still out of it has timed out.
@@ -175,11 +217,18 @@
         let Some(id) = held.deliveries[delivery].link else { return };
         self.end_delivery(inv, delivery, ending, Beside::default());
         let Some(link) = self.links.get_mut(&id) else { return };
-        let own = link.carries.iter_mut().find(|c| **c == Some((inv, delivery)));
-        own.map(Option::take);
-        // Others on it wait for their answers: its own is dropped in its turn.
-        if link.carries.iter().all(Option::is_none) {
-            self.close_link(id, Why::GaveUp);
+        let own = link.carries.iter_mut().find(|c| c.delivery == Some((inv, delivery)));
+        let number = own.map(|own| {
+            own.delivery = None;
+            own.number
+        });
+        if link.is_abandoned() {
+            return self.close_link(id, Why::GaveUp);
+        }
+        // Others on it wait for their answers: it leaves no more if nothing of it has; else its answer is dropped in
+        // its turn.
+        if let Some(delivery) = number.filter(|_| link.up) {
+            self.effects.push(Effect::Withdraw { connection: id, delivery });
         }
     }
 }
--- a/gateway/src/memory/clients.rs
+++ b/gateway/src/memory/clients.rs
@@ -22,6 +22,7 @@
             Command::Ping => Answer::Error("draining".into()),
             Command::Auth(token) => self.authenticated(now, id, &token),
             Command::Wrong(why) => Answer::Error(why),
+            Command::Dropped => Answer::Busy { retry_after_ms: None },
             Command::Broken(why) => {
                 client.broken = true;
                 Answer::Error(format!("protocol: {why}"))
@@ -157,6 +158,10 @@
         for inv in client.owed.into_iter().filter_map(|(inv, _)| inv) {
             if let Some(held) = self.held[inv].as_mut() {
                 held.closed = true;
+                let deliveries = held.deliveries.len();
+                for delivery in 0..deliveries {
+                    self.withdraw(inv, delivery);
+                }
                 self.door.gone(now, inv);
                 self.release(inv);
             }
--- a/gateway/src/memory/event.rs
+++ b/gateway/src/memory/event.rs
@@ -175,6 +175,11 @@
     Body(u64, bool),
     /// A connection that was asked for is up.
     Up(Conn),
+    /// This delivery was taken out of the buffer of a backend's connection before any of its bytes was written.
+    Withdrawn {
+        connection: u64,
+        delivery: u64,
+    },
     /// A connection ended that nobody here closed; `unsent`: not all that was written to it has left.
     Ended {
         conn: Conn,
@@ -214,8 +219,19 @@
     Part(u64, Why),
     /// Nothing more is heard of this client but its end.
     Mute(u64),
-    /// The call, with the milliseconds that we shall wait.
-    Deliver(u64, Arc<Call>, u64),
+    /// Writes a call to a backend's connection, with the milliseconds that we shall wait for its answer.
+    Deliver {
+        connection: u64,
+        /// Its number, unique on this connection.
+        delivery: u64,
+        call: Arc<Call>,
+        wait_ms: u64,
+    },
+    /// Takes a delivery back out of its connection's buffer, if none of its bytes has been written yet.
+    Withdraw {
+        connection: u64,
+        delivery: u64,
+    },
     /// What has begun on this backend's connection passes to that client, or to nobody.
     Pass(u64, Option<u64>),
     /// If nothing has passed since this was last asked for, the connection ends.
--- a/gateway/src/memory/kept.rs
+++ b/gateway/src/memory/kept.rs
@@ -69,14 +69,50 @@
     pub muted: bool,
 }
 
-/// A connection to a backend: the deliveries on it in order, none where an answer is no longer wanted.
+/// A delivery on a backend's connection.
+pub struct Carried {
+    /// Its number, unique on the connection.
+    pub number: u64,
+    /// The invocation and which of its deliveries this is; none where an answer is no longer wanted.
+    pub delivery: Option<(Inv, usize)>,
+}
+
+/// A connection to a backend.
 pub struct Link {
     pub tgt: Tgt,
     pub up: bool,
-    pub carries: VecDeque<Option<(Inv, usize)>>,
+    /// The deliveries on it, in the order of their answers.
+    pub carries: VecDeque<Carried>,
+    /// The number of the next delivery on it.
+    pub next_number: u64,
     pub since: f64,
 }
 
+impl Link {
+    /// One that is about to be opened.
+    pub fn new(tgt: Tgt, now: f64) -> Link {
+        Link { tgt, up: false, carries: VecDeque::new(), next_number: 0, since: now }
+    }
+
+    /// Puts a delivery behind the others on it; returns its number.
+    pub fn carry(&mut self, inv: Inv, delivery: usize) -> u64 {
+        let number = self.next_number;
+        self.next_number += 1;
+        self.carries.push_back(Carried { number, delivery: Some((inv, delivery)) });
+        number
+    }
+
+    /// The delivery whose answer comes next, if that is still wanted.
+    pub fn front(&self) -> Option<(Inv, usize)> {
+        self.carries.front().and_then(|c| c.delivery)
+    }
+
+    /// It carries something, and nobody waits for any of it.
+    pub fn is_abandoned(&self) -> bool {
+        !self.carries.is_empty() && self.carries.iter().all(|c| c.delivery.is_none())
+    }
+}
+
 /// A backend as the list has it (no address: the index is free), and its idle connections, the newest last.
 #[derive(Default)]
 pub struct Place {
--- a/gateway/src/memory/list.rs
+++ b/gateway/src/memory/list.rs
@@ -47,6 +47,7 @@
                 self.close_idle(tgt);
             }
         }
+        self.withdraw_from_drained();
     }
 
     pub(super) fn close_idle(&mut self, tgt: Tgt) {
--- a/gateway/src/memory/mod.rs
+++ b/gateway/src/memory/mod.rs
@@ -2,6 +2,7 @@
 //! `reducer` takes events in and asks the decisions; its other parts stand in a file each.
 mod admission;
 mod backends;
+pub mod backlog;
 mod broker;
 mod clients;
 mod counter;
@@ -12,6 +13,7 @@
 pub mod kept;
 mod list;
 mod operators;
+pub mod outgoing;
 mod peers;
 pub mod reducer;
 mod room;
--- a/gateway/src/memory/operators.rs
+++ b/gateway/src/memory/operators.rs
@@ -171,6 +171,7 @@
         self.door.by_hand(now, tgt, out);
         if out.is_some() {
             self.close_idle(tgt);
+            self.withdraw_from_drained();
         }
     }
 
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -203,6 +203,7 @@
             Event::Partial(Conn::List(_) | Conn::Operator(_)) => {}
             Event::Up(Conn::Backend(id)) => self.up(now, id),
             Event::Up(Conn::Counter(id)) => self.counter_up(id),
+            Event::Withdrawn { connection, delivery } => self.withdrawn(now, connection, delivery),
             Event::Up(conn) => {
                 self.effects.push(Effect::Request(conn, self.next_watch()));
             }
@@ -379,7 +380,9 @@
             self.tell(word);
         }
         for (inv, delivery) in errands.cancels {
-            if !self.stays_out(inv, delivery) {
+            if self.stays_out(inv, delivery) {
+                self.withdraw(inv, delivery);
+            } else {
                 self.give_up(inv, delivery, Ending::Cancelled);
             }
         }
--- a/gateway/src/memory/streams.rs
+++ b/gateway/src/memory/streams.rs
@@ -13,8 +13,10 @@
     /// A value has begun: whatever else is out for its invocation is given up, and nothing is delivered again.
     pub(super) fn begun(&mut self, now: f64, id: u64) {
         let Some(link) = self.links.get(&id) else { return };
-        let Some(&front) = link.carries.front() else { return self.unasked(id) };
-        let Some((inv, delivery)) = front else { return self.effects.push(Effect::Pass(id, None)) };
+        if link.carries.is_empty() {
+            return self.unasked(id);
+        }
+        let Some((inv, delivery)) = link.front() else { return self.effects.push(Effect::Pass(id, None)) };
         let Some(held) = self.held[inv].as_mut().filter(|h| !h.closed && h.begun.is_none()) else {
             return self.effects.push(Effect::Pass(id, None));
         };
@@ -45,7 +47,7 @@
 
     /// All of the value is on its way to the client.
     pub(super) fn passed(&mut self, now: f64, id: u64) {
-        let front = self.links.get(&id).and_then(|l| l.carries.front().copied().flatten());
+        let front = self.links.get(&id).and_then(Link::front);
         if let Some((inv, _)) = front {
             self.answer(now, inv, Answer::Passed);
         }
@@ -54,7 +56,7 @@
     /// What stood behind the value: its delivery has ended.
     pub(super) fn rest_of(&mut self, now: f64, id: u64, beside: (Option<f64>, Option<Vec<u8>>), more: bool) {
         let Some(front) = self.links.get_mut(&id).and_then(|l| l.carries.pop_front()) else { return };
-        if let Some((inv, delivery)) = front {
+        if let Some((inv, delivery)) = front.delivery {
             self.succeeded(inv, delivery, beside.0, beside.1);
         }
         if more {
--- a/gateway/src/sockets/drive.rs
+++ b/gateway/src/sockets/drive.rs
@@ -26,6 +26,9 @@
 
 /// While leaving: how often it is looked whether all has been written.
 const LOOK: f64 = 0.005;
+/// A client whose commands are dropped is read from again after so many seconds. It may have left behind what its machine
+/// and ours hold for it, some 10 MiB (the largest `tcp_wmem` and `tcp_rmem`): all of it is to be read well within 0.1 s.
+const READ_PAUSE: f64 = 0.002;
 
 #[derive(Default)]
 struct Batch {
@@ -61,12 +64,15 @@
                 Some(_) => Some(now + LOOK),
                 None => next,
             };
+            let resume = self.common.has_paused().then_some(now + READ_PAUSE);
+            let next = next.into_iter().chain(resume).reduce(f64::min);
             if let Some(next) = next.filter(|n| *n < armed || armed <= now) {
                 armed = next;
                 self.common.inbox.ring_in(next - now);
             }
             if self.common.inbox.wait(&mut events) {
                 armed = f64::INFINITY;
+                self.common.resume_paused();
             }
         }
     }
@@ -103,20 +109,28 @@
         };
         match effect {
             Effect::Answer(id, answer) => write(Conn::Client(id), &|link| {
-                answer.encode(&mut link.out.borrow_mut());
+                answer.encode(link.out.borrow_mut().buffer());
                 link.answered();
             }),
             Effect::TurnAway(id, why) => {
                 write(Conn::Client(id), &|link| {
-                    Answer::Error(why.into()).encode(&mut link.out.borrow_mut());
+                    Answer::Error(why.into()).encode(link.out.borrow_mut().buffer());
                 });
             }
-            Effect::Deliver(id, call, wait) => write(Conn::Backend(id), &|link| {
-                call.encode(wait, &mut link.out.borrow_mut());
-                link.delivers();
-            }),
+            Effect::Deliver { connection, delivery, call, wait_ms } => {
+                write(Conn::Backend(connection), &|link| {
+                    link.out.borrow_mut().append(delivery, |buffer| call.encode(wait_ms, buffer));
+                })
+            }
+            Effect::Withdraw { connection, delivery } => {
+                let links = self.links.0.borrow();
+                let link = links.get(&Conn::Backend(connection));
+                if link.is_some_and(|l| l.out.borrow_mut().withdraw(delivery)) {
+                    self.common.inbox.push(Event::Withdrawn { connection, delivery });
+                }
+            }
             Effect::Respond(id, response) => write(Conn::Operator(id), &|link| {
-                response.encode(&mut link.out.borrow_mut());
+                response.encode(link.out.borrow_mut().buffer());
                 link.mute();
             }),
             Effect::Keep(id, change) => {
@@ -157,7 +171,7 @@
                 }
             }
             Effect::Request(conn, request) => {
-                write(conn, &|link| request.encode(link.to, &mut link.out.borrow_mut()))
+                write(conn, &|link| request.encode(link.to, link.out.borrow_mut().buffer()))
             }
             Effect::Connect(conn, to) => match Link::connect(conn, to, &self.common) {
                 Ok(link) => self.links.insert(conn, link),
--- a/gateway/src/sockets/inbox.rs
+++ b/gateway/src/sockets/inbox.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Has the reducer's coroutine look around, though nothing has happened.
+    pub fn wake(&self) {
+        self.waker.wakeup();
+    }
+
     /// From any thread.
     pub fn tell(&self, event: Event) {
         self.told.lock().unwrap_or_else(|e| e.into_inner()).push(event);
--- a/gateway/src/sockets/link.rs
+++ b/gateway/src/sockets/link.rs
@@ -1,8 +1,10 @@
 //! One TCP connection of any kind: a coroutine reads and decodes; what is written leaves with the batch.
 use super::inbox::Inbox;
+use crate::memory::backlog::{Backlog, Due};
 use crate::memory::event::{Conn, Event, Why};
 use crate::memory::intake::{Hears, Intake};
-use crate::wire::resp;
+use crate::memory::outgoing::Outgoing;
+use crate::wire::resp::{self, Command};
 use atomic_refcell::AtomicRefCell;
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use std::collections::VecDeque;
@@ -24,6 +26,8 @@
 /// So much may wait to be written, and so many of a client's commands for their answers, before reading stops.
 const UNREAD: usize = 1024 * 1024;
 const OWED: usize = 512;
+/// So much is read at once from a client whose commands are dropped, before others have their turn.
+const READ_AT_ONCE: usize = 1024 * 1024;
 /// The part of the memory that clients' unfinished commands may take, and that what passes through may.
 const HALF: usize = 8;
 const PASSING: usize = 8;
@@ -46,6 +50,8 @@
     most_long: usize,
     goes_on: AtomicUsize,
     crowd: AtomicRefCell<Vec<Arc<Link>>>,
+    /// Clients that have been read from for long enough, until others have had their turn.
+    paused: AtomicRefCell<Vec<Arc<Link>>>,
     /// How many bytes of values on their way through wait for clients, and how many should.
     passing: AtomicUsize,
     most_passing: usize,
@@ -61,6 +67,18 @@
         self.acceptors.borrow().iter().for_each(WaitIoWaker::wakeup);
     }
 
+    /// Whether a client waits to be read from again.
+    pub fn has_paused(&self) -> bool {
+        !self.paused.borrow().is_empty()
+    }
+
+    /// Others have had their turn.
+    pub fn resume_paused(&self) {
+        for link in self.paused.borrow_mut().drain(..) {
+            link.waker.wakeup();
+        }
+    }
+
     /// With so many bytes of memory.
     pub fn new(inbox: Arc<Inbox>, memory: usize) -> Arc<Common> {
         let scratch = AtomicRefCell::new(vec![0; SCRATCH]);
@@ -79,6 +97,7 @@
             most_long,
             goes_on,
             crowd: AtomicRefCell::default(),
+            paused: AtomicRefCell::default(),
             passing,
             most_passing,
             short,
@@ -94,7 +113,7 @@
     pub to: SocketAddr,
     stream: CoIo<TcpStream>,
     waker: WaitIoWaker,
-    pub out: AtomicRefCell<Vec<u8>>,
+    pub out: AtomicRefCell<Outgoing>,
     /// A client's commands that have no answer yet; and the lengths of the long ones, 0 for others.
     owed: AtomicUsize,
     long: AtomicRefCell<VecDeque<usize>>,
@@ -105,8 +124,6 @@
     closed: AtomicBool,
     /// Nothing more is heard; for an operator: its answer is the last that leaves.
     muted: AtomicBool,
-    /// Deliveries written to a backend's connection that have not all left.
-    deliveries: AtomicUsize,
     intake: AtomicRefCell<Intake>,
     /// A backend's: the client that a value passes to; it was told to go on; something has passed; it waits for its
     /// client.
@@ -140,7 +157,7 @@
         let stream = CoIo::new(stream).map_err(|e| std::io::Error::other(format!("{e:?}")))?;
         let (waker, common) = (stream.waker(), common.clone());
         let (out, owed, closed) = (AtomicRefCell::default(), AtomicUsize::new(0), AtomicBool::new(false));
-        let (muted, deliveries) = (AtomicBool::new(false), AtomicUsize::new(0));
+        let muted = AtomicBool::new(false);
         let (intake, source) = (AtomicRefCell::new(Intake::new(conn)), AtomicRefCell::default());
         let [resumed, moved, waits] = [(); 3].map(|()| AtomicBool::new(false));
         let counted = AtomicUsize::new(0);
@@ -156,7 +173,6 @@
             crowded: AtomicBool::new(false),
             closed,
             muted,
-            deliveries,
             intake,
             passes_to: AtomicRefCell::default(),
             resumed,
@@ -186,23 +202,18 @@
         let mut out = self.out.borrow_mut();
         let mut done = 0;
         while done < out.len() {
-            match self.stream.inner().write(&out[done..]) {
+            match self.stream.inner().write(&out.bytes()[done..]) {
                 Ok(n) if n > 0 => done += n,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 _ => break, // no room yet; or the reader finds out that it broke
             }
         }
-        out.drain(..done);
-        if out.is_empty() {
-            let whole = self.deliveries.swap(0, Ordering::Relaxed);
-            self.common.written.fetch_add(whole, Ordering::Relaxed);
-            if self.muted.load(Ordering::Relaxed) && matches!(self.conn, Conn::Operator(_)) {
-                let _ = self.stream.inner().shutdown(Shutdown::Write); // it may have gone
-            }
-        }
-        if out.is_empty() && out.capacity() > KEPT {
-            *out = Vec::new();
+        self.common.written.fetch_add(out.written(done), Ordering::Relaxed);
+        let answered = matches!(self.conn, Conn::Operator(_)) && self.muted.load(Ordering::Relaxed);
+        if answered && out.is_empty() {
+            let _ = self.stream.inner().shutdown(Shutdown::Write); // it may have gone
         }
+        out.shrink(KEPT);
         let left = out.len();
         drop(out);
         if let Some(source) = &*self.source.borrow() {
@@ -224,7 +235,7 @@
     pub fn pass(self: &Arc<Link>, to: Option<Arc<Link>>) {
         let Some(left) = self.intake.borrow_mut().passes() else { return };
         if let Some(to) = &to {
-            to.out.borrow_mut().extend_from_slice(format!("${left}\r\n").as_bytes());
+            to.out.borrow_mut().buffer().extend_from_slice(format!("${left}\r\n").as_bytes());
             *to.source.borrow_mut() = Some(self.clone());
         }
         *self.passes_to.borrow_mut() = to;
@@ -256,11 +267,6 @@
         }
     }
 
-    /// One more delivery waits to leave.
-    pub fn delivers(&self) {
-        self.deliveries.fetch_add(1, Ordering::Relaxed);
-    }
-
     /// An operator has had its answer. Of what a client says from now on nothing is heard but its end: left unread, its
     /// bytes would hide that, and make the close a reset that can take our answers with it.
     pub fn mute(&self) {
@@ -271,10 +277,11 @@
         }
     }
 
-    /// Something has come that nobody has read, its end included.
+    /// Something has come that nobody has read or decoded, its end included.
     pub fn unread(&self) -> bool {
         let mut one = [0];
-        !matches!(self.stream.inner().peek(&mut one), Err(e) if e.kind() == ErrorKind::WouldBlock)
+        self.behind.load(Ordering::Relaxed)
+            || !matches!(self.stream.inner().peek(&mut one), Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
     /// Whether all that was written has left.
@@ -298,6 +305,11 @@
         self.common.long.fetch_sub(length, Ordering::Relaxed);
         let own = self.number();
         let _ = self.common.goes_on.compare_exchange(own, 0, Ordering::Relaxed, Ordering::Relaxed);
+        self.wake_crowd();
+    }
+
+    /// Those that wait for room look again.
+    fn wake_crowd(&self) {
         for link in self.common.crowd.borrow_mut().drain(..) {
             link.crowded.store(false, Ordering::Relaxed);
             link.waker.wakeup();
@@ -312,9 +324,15 @@
         }
     }
 
+    /// Whether there is room for more of a long body now.
+    fn has_spare_room(&self) -> bool {
+        self.common.long.load(Ordering::Relaxed) + SCRATCH <= self.common.most_long
+            || self.common.goes_on.load(Ordering::Relaxed) == self.number()
+    }
+
     /// Whether there is room for more of a long body: one client may always go on, until it is answered.
     fn may_grow(&self) -> bool {
-        if self.common.long.load(Ordering::Relaxed) + SCRATCH <= self.common.most_long {
+        if self.has_spare_room() {
             return true;
         }
         let own = self.number();
@@ -322,13 +340,23 @@
         before.is_ok() || before == Err(own)
     }
 
-    /// A client that reads no answers is not read from either; nor is one that asks far ahead of them, once so much of what it
-    /// says has been put by (`kept`): its end may lie behind that, and what waits for it is not to be sent on then.
-    fn full(&self, kept: usize) -> bool {
-        if matches!(self.conn, Conn::Backend(_)) {
-            return self.ahead() == 0;
+    /// A client that reads no answers is not read from either. If it leaves, it leaves answers unread, and the machine
+    /// tells of that at once, by a reset.
+    fn full(&self) -> bool {
+        match self.conn {
+            Conn::Backend(_) => self.ahead() == 0,
+            _ => self.out.borrow().len() > self.common.unread,
         }
-        self.out.borrow().len() > self.common.unread || self.asks_ahead() && kept > self.common.unread
+    }
+
+    /// Any other client that waits for something is read from, for its end may lie behind what it wrote: where there is
+    /// no room for that, it is dropped.
+    fn is_to_drop(&self, got: &Backlog) -> bool {
+        if !matches!(self.conn, Conn::Client(_)) || self.owed.load(Ordering::Relaxed) == 0 || got.drops() {
+            return false;
+        }
+        let too_much = self.asks_ahead() && got.len() > self.common.unread;
+        too_much || got.len() > resp::MESSAGE && !self.has_spare_room()
     }
 
     /// As many of a client's commands as may wait for their answers do.
@@ -342,7 +370,6 @@
         // But nothing of a delivery that was given up in the same batch: the backend would take it for one that is wanted.
         if matches!(self.conn, Conn::Backend(_)) && !self.flushed() {
             self.out.borrow_mut().clear();
-            self.deliveries.store(0, Ordering::Relaxed);
         }
         self.flush();
         self.waker.wakeup();
@@ -352,7 +379,7 @@
     }
 
     fn serve(self: &Arc<Link>, up: bool) {
-        let mut got = Vec::new();
+        let mut got = Backlog::default();
         self.read_on(up, &mut got);
         self.keep(got.len(), 0);
         // Nothing passes here any more, in either direction.
@@ -383,8 +410,10 @@
         short(now) <= short(before) || kept <= self.common.most_half
     }
 
-    fn read_on(self: &Arc<Link>, mut up: bool, got: &mut Vec<u8>) {
+    fn read_on(self: &Arc<Link>, mut up: bool, got: &mut Backlog) {
         let mut unread = 0;
+        // It has been left unread for a while.
+        let mut rested = false;
         loop {
             let flags = self.stream.wait_io();
             if !up && !self.closed.load(Ordering::Relaxed) {
@@ -417,21 +446,23 @@
             let behind = self.behind.load(Ordering::Relaxed) && !self.asks_ahead();
             if (self.resumed.swap(false, Ordering::Relaxed) || behind) && !got.is_empty() {
                 let before = got.len();
-                match self.decode(got) {
-                    Ok(done) => drop(got.drain(..done)),
-                    Err(why) => return self.ended(why),
+                if let Err(why) = self.decode(got) {
+                    return self.ended(why);
                 }
                 self.keep(before, got.len());
             }
             // What a backend wrote before its end passes only as fast as the client takes it.
-            if unread != 0 && (!self.full(got.len()) || ended && !passes) {
-                match self.read(ended, got) {
-                    Ok(true) => unread = 0,
-                    Ok(false) => {}
+            if unread != 0 && (!self.full() || ended && !passes) {
+                match self.read((ended, rested), got) {
+                    Ok(all) => {
+                        unread = if all { 0 } else { unread };
+                        rested = !all && !passes;
+                    }
                     Err(why) => return self.ended(why),
                 }
             } else if unread != 0 {
                 self.waits.store(true, Ordering::Relaxed);
+                rested = !passes;
             }
         }
     }
@@ -445,11 +476,24 @@
     }
 
     /// Reads all there is, or until it is full; true if that was all. A short read is the last one, unless the
-    /// other side has ended.
-    fn read(self: &Arc<Link>, to_the_end: bool, got: &mut Vec<u8>) -> Result<bool, Why> {
+    /// other side has ended, or may have while nothing was read here (`rested`): its end is to be met together with
+    /// the commands before it.
+    fn read(self: &Arc<Link>, (ended, rested): (bool, bool), got: &mut Backlog) -> Result<bool, Why> {
         let mut scratch = self.common.scratch.borrow_mut();
+        let mut read = 0;
         loop {
-            if got.len() > resp::MESSAGE && !self.deaf() && !self.may_grow() {
+            if self.is_to_drop(got) {
+                let before = got.len();
+                got.start_dropping();
+                self.keep(before, got.len());
+                self.wake_crowd();
+            }
+            if (got.drops() || self.deaf()) && read >= READ_AT_ONCE {
+                self.common.paused.borrow_mut().push(self.clone());
+                self.common.inbox.wake();
+                return Ok(false);
+            }
+            if got.len() > resp::MESSAGE && !got.drops() && !self.deaf() && !self.may_grow() {
                 if !self.crowded.swap(true, Ordering::Relaxed) {
                     self.common.crowd.borrow_mut().push(self.clone());
                     self.tell(Event::Body(self.number() as u64, false));
@@ -463,19 +507,19 @@
             }
             match self.stream.inner().read(&mut scratch[..room]) {
                 Ok(0) => return Err(Why::Closed),
-                Ok(_) if self.deaf() => {}
+                Ok(n) if self.deaf() => read += n,
                 Ok(n) => {
                     let before = got.len();
+                    read += n;
                     if got.is_empty() {
-                        let done = self.decode(&scratch[..n])?;
-                        got.extend_from_slice(&scratch[done..n]);
+                        let done = self.decode_all(&scratch[..n])?;
+                        got.extend(&scratch[done..n], STEP);
                     } else {
-                        if got.capacity() < got.len() + n && got.len() > resp::MESSAGE {
-                            got.reserve_exact(STEP); // not by doubling
-                        }
-                        got.extend_from_slice(&scratch[..n]);
-                        let done = self.decode(got)?;
-                        got.drain(..done);
+                        got.extend(&scratch[..n], STEP);
+                        self.decode(got)?;
+                    }
+                    if got.drops() {
+                        self.tell(Event::Body(self.number() as u64, true)); // it is at a command, kept or not
                     }
                     if !self.keep(before, got.len()) {
                         self.intake.borrow_mut().broken("too much unfinished", &mut Told(self));
@@ -483,14 +527,16 @@
                     if self.deaf() {
                         self.keep(got.len(), 0);
                         self.has_room(0);
-                        got.clear();
+                        got.clear(KEPT);
                     }
-                    if got.is_empty() && got.capacity() > KEPT {
-                        *got = Vec::new();
+                    got.shrink(KEPT);
+                    if !ended && self.full() {
+                        self.waits.store(true, Ordering::Relaxed);
+                        return Ok(n < room && !rested);
                     }
-                    if !to_the_end && (n < room || self.full(got.len())) {
-                        self.waits.store(self.full(got.len()), Ordering::Relaxed);
-                        return Ok(n < room);
+                    if !ended && !rested && n < room {
+                        self.waits.store(false, Ordering::Relaxed);
+                        return Ok(true);
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(true),
@@ -501,10 +547,37 @@
     }
 
     /// Tells of each whole message; how many bytes they took.
-    fn decode(&self, bytes: &[u8]) -> Result<usize, Why> {
-        let done = self.intake.borrow_mut().decode(bytes, &mut Told(self));
-        self.behind.store(self.asks_ahead() && matches!(done, Ok(n) if n < bytes.len()), Ordering::Relaxed);
-        done
+    fn decode_all(&self, bytes: &[u8]) -> Result<usize, Why> {
+        let done = self.intake.borrow_mut().decode(bytes, &mut Told(self))?;
+        self.behind.store(self.asks_ahead() && done < bytes.len(), Ordering::Relaxed);
+        Ok(done)
+    }
+
+    /// The same of what is kept; what was dropped behind it is refused in its turn.
+    fn decode(&self, got: &mut Backlog) -> Result<(), Why> {
+        loop {
+            let done = self.intake.borrow_mut().decode(got.decodable(), &mut Told(self))?;
+            got.decoded(done);
+            while !self.asks_ahead() {
+                match got.next_due() {
+                    Some(Due::Refusal) => self.tell_command(Command::Dropped),
+                    Some(Due::TooMany) => {
+                        got.clear(KEPT);
+                        self.intake.borrow_mut().broken("too many commands at once", &mut Told(self));
+                    }
+                    None => break,
+                }
+            }
+            if !got.stops_dropping() {
+                break;
+            }
+        }
+        self.behind.store(self.asks_ahead() && !got.is_empty(), Ordering::Relaxed);
+        Ok(())
+    }
+
+    fn tell_command(&self, command: Command) {
+        Told(self).event(Event::Command(self.number() as u64, command), 0);
     }
 
     fn deaf(&self) -> bool {
@@ -538,8 +611,8 @@
         let to = link.passes_to.borrow().clone();
         if let Some(to) = to.as_ref().filter(|to| !to.closed.load(Ordering::Relaxed)) {
             let mut out = to.out.borrow_mut();
-            out.extend_from_slice(bytes);
-            out.extend_from_slice(if end { b"\r\n" } else { b"" });
+            out.buffer().extend_from_slice(bytes);
+            out.buffer().extend_from_slice(if end { b"\r\n" } else { b"" });
             drop(out);
             to.flush();
         }
--- a/gateway/src/wire/resp.rs
+++ b/gateway/src/wire/resp.rs
@@ -58,6 +58,8 @@
     Call(Box<Call>),
     /// A whole command that can't be served, and why.
     Wrong(String),
+    /// A whole command that was not kept, for too much of its client waits: it is refused.
+    Dropped,
     /// Nothing after it can be understood.
     Broken(&'static str),
 }
@@ -128,18 +130,24 @@
     text.parse().map_err(|_| Broken("length is no number"))
 }
 
-/// A bulk string from `at` (its length line included): where it lies, none if null; and the next.
-fn bulk(bytes: &[u8], at: usize, longest: usize) -> Decoded<Option<Range<usize>>> {
+/// The length line of a bulk string from `at`: its length, none if null; and where the string begins.
+fn bulk_length(bytes: &[u8], at: usize, longest: usize) -> Decoded<Option<usize>> {
     let Some((head, from)) = line(bytes, at)? else { return Ok(None) };
     let Some(b'$') = head.first() else { return Err(Broken("expected a bulk string")) };
-    let length = match number(&head[1..])? {
-        -1 => return Ok(Some((None, from))),
-        n if n < 0 => return Err(Broken("negative length")),
+    match number(&head[1..])? {
+        -1 => Ok(Some((None, from))),
+        n if n < 0 => Err(Broken("negative length")),
         n if n > longest as i64 => {
-            return Err(Broken(if longest > VALUE { "value over 4 MiB" } else { "value over 64 KiB" }))
+            Err(Broken(if longest > VALUE { "value over 4 MiB" } else { "value over 64 KiB" }))
         }
-        n => n as usize,
-    };
+        n => Ok(Some((Some(n as usize), from))),
+    }
+}
+
+/// A bulk string from `at` (its length line included): where it lies, none if null; and the next.
+fn bulk(bytes: &[u8], at: usize, longest: usize) -> Decoded<Option<Range<usize>>> {
+    let Some((length, from)) = bulk_length(bytes, at, longest)? else { return Ok(None) };
+    let Some(length) = length else { return Ok(Some((None, from))) };
     if bytes.len() < from + length + 2 {
         return Ok(None);
     }
@@ -159,6 +167,43 @@
     }
 }
 
+/// How far a command reaches.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Extent {
+    /// It is whole, and so many bytes long.
+    Whole(usize),
+    /// So many bytes are still to come.
+    Missing(usize),
+    /// Too little of it has come to say.
+    Unknown,
+}
+
+/// How far the first command of these bytes reaches, without a look at what it says.
+pub fn extent(bytes: &[u8]) -> Result<Extent, Broken> {
+    match bytes.first() {
+        None => return Ok(Extent::Unknown),
+        Some(b'*') => {}
+        Some(_) => return Err(Broken("expected an array of bulk strings")),
+    }
+    let Some((words, mut at)) = array(bytes)? else { return Ok(Extent::Unknown) };
+    let words = words.unwrap_or(0);
+    for word in 0..words {
+        let body = word == 4 && words == 5;
+        if at > MESSAGE {
+            return Err(Broken("message over 64 KiB"));
+        }
+        let longest = if body { LONG } else { VALUE };
+        let Some((length, from)) = bulk_length(bytes, at, longest)? else { return Ok(Extent::Unknown) };
+        let end = from + length.ok_or(Broken("null in a command"))? + 2;
+        if bytes.len() < end {
+            let last = word + 1 == words;
+            return Ok(if last { Extent::Missing(end - bytes.len()) } else { Extent::Unknown });
+        }
+        at = end;
+    }
+    Ok(Extent::Whole(at))
+}
+
 /// One command of a client.
 pub fn command(bytes: &[u8]) -> Decoded<Command> {
     if bytes.is_empty() {
--- a/gateway/tests/reducer.rs
+++ b/gateway/tests/reducer.rs
@@ -49,8 +49,12 @@
             answer.encode(&mut out);
             format!("client {id}: {}", String::from_utf8_lossy(&out).trim_end().replace("\r\n", " "))
         }
-        Effect::Deliver(id, call, wait) => {
-            format!("backend link {id}: {} for {wait} ms", String::from_utf8_lossy(call.operation()))
+        Effect::Deliver { connection, call, wait_ms, .. } => {
+            let operation = String::from_utf8_lossy(call.operation());
+            format!("backend link {connection}: {operation} for {wait_ms} ms")
+        }
+        Effect::Withdraw { connection, delivery } => {
+            format!("backend link {connection}: withdraw {delivery} if not begun")
         }
         Effect::Request(conn, Request::Count { add, .. }) => format!("{conn:?}: add {add}"),
         Effect::Request(conn, Request::Watch { since, wait_ms: 1 }) => {
