--- a/load/src/scale/hollow.rs
+++ b/load/src/scale/hollow.rs
@@ -191,7 +191,10 @@
         };
         match effect {
             Effect::Answer(_, answer) => self.count(&answer),
-            Effect::Deliver(id, call, wait) => write(Conn::Backend(id), &|out| call.encode(wait, out)),
+            // What has been written leaves with the batch, so nothing can be withdrawn later.
+            Effect::Deliver { connection, call, wait_ms, .. } => {
+                write(Conn::Backend(connection), &|out| call.encode(wait_ms, out))
+            }
             Effect::Request(conn, request) => write(conn, &|out| request.encode(self.own, out)),
             Effect::Connect(conn, to) => {
                 self.streams.insert(conn, Stream::new(conn));
