The list is asked for again 0.5 s after a 503, no more 1 to 3 s: a drain was told too late

The watch is given up at 19.41 s (WATCH 5 s + 0.4 s), the call behind it at 19.81 s (0.4 s without an answer), the next one gets a 503 within 2 ms. `watch_failed` then waited for `Door::unlisted` (LIST_AGAIN, 1 to 3 s): the next call went out at 21.29 s and was answered 1.27 s later, at 22.57 s. It counted as told from 21.00 s on; at 22.56 s an invocation went to one of the three, listed as ready still.

Change: the pause after an answer that is no list is FAILURE_PAUSE, 0.5 s, in `list.rs`, where the other pauses are.

--- a/gateway/src/memory/list.rs
+++ b/gateway/src/memory/list.rs
@@ -15,6 +15,9 @@
 const ANSWER_GRACE: f64 = 0.4;
 /// The pause after a connection that was refused or ended without an answer, seconds.
 const RECONNECT_PAUSE: f64 = 0.2;
+/// The pause after an answer that is no list, such as a 503, seconds. A service may turn two calls away behind a watch that
+/// fell silent, and be slow with each answer: longer than `RECONNECT_PAUSE`, to spare it, and the sum still under 6 s.
+const FAILURE_PAUSE: f64 = 0.5;
 /// How much longer an overdue connection is kept beside the new ones, seconds: a service that takes up to `ANSWER_GRACE`
 /// and this for an answer is heard, whichever connections went mute before (docs/list-service.md).
 const OVERDUE_KEPT: f64 = 2.0;
@@ -173,13 +176,9 @@
                     other.and_then(Result::err).unwrap_or_else(|| format!("status {}", response.status));
                 self.effects.push(Effect::Log(format!("list service: {why}")));
                 self.close(Conn::List(id), Why::BadFraming);
-                self.watch_failed(now);
+                self.list = None;
+                self.at(now + FAILURE_PAUSE, Due::Ask);
             }
         }
     }
-
-    fn watch_failed(&mut self, now: f64) {
-        self.list = None;
-        self.door.unlisted(now);
-    }
 }
