A list call that fails ends its own connection only: one on its way elsewhere still counts

Cause: `list_says` closed all other connections to the list service for the first answer of any kind, a 503 included.

Change: `list_arrived` ends the other connections, `list_failed` only its own; if that was the last one asked, the next call comes after FAILURE_PAUSE, unless an overdue one has brought the list by then. `watched` is split into the two.

Test: `a_call_that_is_turned_away_leaves_an_overdue_one_its_answer`, on the reducer; it fails without the change (nothing more is asked on the overdue connection).

--- a/gateway/src/memory/list.rs
+++ b/gateway/src/memory/list.rs
@@ -141,44 +141,56 @@
         }
     }
 
-    /// Something has come from the list service: what it is, if it is for us. The first answer is taken, whichever
-    /// connection it comes on; the others end, for what comes there later is older.
+    /// Something has come from the list service, if it is for us. The first list is taken, whichever connection it comes
+    /// on; the others end, for what comes there later is older.
     pub(super) fn list_says(&mut self, now: f64, id: u64, response: Response) {
-        if let Some(place) = self.overdue.iter().position(|(overdue, _)| *overdue == id) {
-            self.overdue.remove(place);
-            if let Some(asked) = self.list.replace(id) {
-                self.close(Conn::List(asked), Why::Silent);
-            }
+        let awaited = self.list == Some(id) || self.overdue.iter().any(|(overdue, _)| *overdue == id);
+        if !awaited {
+            return;
         }
-        if self.list == Some(id) {
-            self.close_overdue(Why::Silent);
-            self.watched(now, id, response);
+        match list_of(&response) {
+            Ok(list) => self.list_arrived(now, id, &list, response.last),
+            Err(why) => self.list_failed(now, id, why),
         }
     }
 
-    fn watched(&mut self, now: f64, id: u64, response: Response) {
-        let list = (response.status == 200).then(|| listing::decode(&response.body));
-        // A call after one that failed does not wait: over a mute connection a watch would add its wait to the pause.
-        self.list_mute = !matches!(list, Some(Ok(_)));
-        match list {
-            Some(Ok(list)) if !response.last => {
-                self.listed(now, &list);
-                self.effects.push(Effect::Request(Conn::List(id), self.next_watch()));
-                self.watch_until(now, id);
-            }
-            Some(Ok(list)) => {
-                self.listed(now, &list);
-                self.close(Conn::List(id), Why::Closed);
-                self.watch(now);
-            }
-            other => {
-                let why =
-                    other.and_then(Result::err).unwrap_or_else(|| format!("status {}", response.status));
-                self.effects.push(Effect::Log(format!("list service: {why}")));
-                self.close(Conn::List(id), Why::BadFraming);
-                self.list = None;
-                self.at(now + FAILURE_PAUSE, Due::Ask);
-            }
+    fn list_arrived(&mut self, now: f64, id: u64, list: &Listing, last: bool) {
+        self.overdue.retain(|(overdue, _)| *overdue != id);
+        if let Some(asked) = self.list.replace(id).filter(|asked| *asked != id) {
+            self.close(Conn::List(asked), Why::Silent);
         }
+        self.close_overdue(Why::Silent);
+        self.list_mute = false;
+        self.listed(now, list);
+        if last {
+            self.close(Conn::List(id), Why::Closed);
+            self.watch(now);
+        } else {
+            self.effects.push(Effect::Request(Conn::List(id), self.next_watch()));
+            self.watch_until(now, id);
+        }
+    }
+
+    /// An answer that is no list ends its own connection only: the overdue ones may still bring a list, so may the one that
+    /// was asked after them.
+    fn list_failed(&mut self, now: f64, id: u64, why: String) {
+        self.effects.push(Effect::Log(format!("list service: {why}")));
+        self.close(Conn::List(id), Why::BadFraming);
+        self.overdue.retain(|(overdue, _)| *overdue != id);
+        // The next call does not wait: over a mute connection a watch would add its wait to the pause.
+        self.list_mute = true;
+        if self.list == Some(id) {
+            self.list = None;
+            self.at(now + FAILURE_PAUSE, Due::Ask);
+        }
+    }
+}
+
+/// The list in a response of the list service, or why there is none.
+fn list_of(response: &Response) -> Result<Listing, String> {
+    if response.status == 200 {
+        listing::decode(&response.body)
+    } else {
+        Err(format!("status {}", response.status))
     }
 }
--- a/gateway/tests/list_turned_away.rs
+++ b/gateway/tests/list_turned_away.rs
@@ -1,4 +1,5 @@
-//! The reducer before a list service that turns calls away behind a watch that fell silent: how soon it asks again.
+//! The reducer before a list service that turns calls away behind a watch that fell silent: how soon it asks again, and
+//! that an answer which is still on its way counts.
 use quillramp_gateway::life::configuration;
 use quillramp_gateway::memory::event::{Conn, Effect, Event};
 use quillramp_gateway::memory::reducer::{Parties, Reducer};
@@ -88,3 +89,17 @@
         assert!(told <= TOLD, "seed {seed}: told after {told:.2} s");
     }
 }
+
+/// Guards: a 503 to one call ended the connections of the calls before it too, and a list that was on its way there was lost.
+#[test]
+fn a_call_that_is_turned_away_leaves_an_overdue_one_its_answer() {
+    let mut gateway = Gateway::start(1);
+    let watch = gateway.connects();
+    gateway.takes(Event::Up(watch));
+    let slow = gateway.connects();
+    gateway.takes(Event::Up(slow));
+    gateway.is_turned_away();
+    let body = r#"{"index":42,"snapshot":false,"endpoints":[]}"#.into();
+    let next = gateway.takes(Event::Response(slow, Response { status: 200, body, last: false }));
+    assert!(matches!(next, Some(Request::Watch { since: 42, .. })), "{next:?}");
+}
