A refused lease gives back all that it added; what the count is told late of slices it is not told

One customer's count traced: it stood at exactly full while its store filled up.

Cause, three, each enough to hide the others: a refused lease kept the part that fitted, too small for any invocation, and 150 front doors took what the store regained in such parts (credit()); it left the units that a call guesses for others, who were refused as well; debts of slices that were spent beyond the quota, or told seconds later, stood for what the store had regained since, or never had.

Change: a lease that does not cover its invocation gives back all it added, and what the count holds beyond full as far as it is its own; the guess goes back first where the count is full; a slice's debt older than a lapse is not told.

Ruled out: more calls by dropping the give-back (worse beside a counter with calls to spare), a longer memory, a guess of none (trials).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,8 +1,7 @@
-//! All decisions of one front door. Interface: `types.rs`; what it remembers: `state.rs`. Facts enter by what
-//! returns nothing; three are asked, errands go with each: `place` (where, not yet, never), `after`, `wait`.
-//! Quota: a customer's count on the counter service holds the units taken since its window began. The store
-//! it stands for regains `rate` a second, so the allowance is the burst plus that, and a count that lags
-//! behind what the store regained is lifted to it (a full store spills); so is a forgotten or a new count.
+//! All decisions of one front door. Interface: `types.rs`; what it remembers: `state.rs`, `backends.rs`. Facts enter by what
+//! returns nothing; three are asked, errands go with each: `place` (where, not yet, never), `after`, `wait`. Quota: a customer's
+//! count on the counter service holds the units taken since its window began. The store it stands for regains `rate` a second, so
+//! the allowance is the burst plus that, and a count that lags behind what the store regained is lifted to it, as is a forgotten one.
 use crate::backends::{Backends, Drawn};
 use crate::state::*;
 use crate::types::*;
@@ -397,8 +396,9 @@
         let owed = a.settle + a.sliced;
         let room = |back: f64| a.seen.map_or(p.burst, |s| p.burst + back - (s + owed).max(back));
         let (rich, room) = (room(regained - a.rate * (now - a.at)) > p.burst / 2.0, room(regained));
-        // What the slice regained a store that is rich did too, or one of which nothing else spends.
+        // What the slice regained a rich store did too, or one of which nothing else spends. It is told soon or never.
         a.sliced = if rich || self.store.silent { a.sliced.min(most - a.slice) } else { a.sliced };
+        a.sliced *= f64::from(u8::from(often || self.store.silent));
         let leasing = a.calls.iter().any(|c| matches!(c.what, Errand::Lease { .. }));
         // In silence, or where rich, a full slice below what is asked goes into debt: small quotas.
         let fits = a.slice >= if rich || self.store.silent { units.min(most) } else { units };
@@ -434,10 +434,11 @@
         if !leasing {
             let units = need.max(if rich && often { p.burst * BATCH } else { 0.0 });
             let others = STANDS * need * (1.0 / self.store.asked.max(0.1) - 1.0);
-            let owed = owed + if owed < WORTH { others } else { 0.0 };
+            let guess = if owed < WORTH { others } else { 0.0 };
             drift(&mut self.store.asked, true, HARD.1);
             (a.settle, a.sliced) = (0.0, 0.0);
-            self.call(now, (customer, series), (units + owed, owed), Errand::Lease { units });
+            let lease = Errand::Lease { units, need, guess };
+            self.call(now, (customer, series), (units + owed + guess, owed), lease);
         }
         Some(Verdict::NotYet)
     }
@@ -538,13 +539,15 @@
         // It must have stood at what the store regained at least; new or forgotten, at what we last saw.
         let (lost, small) = (before < WORTH, p.burst * SPILL);
         let level = regained.max(a.seen.filter(|_| current && lost).unwrap_or(0.0));
-        let lag = (level - before - call.paid).max(0.0);
+        let lag = (level - before - call.paid - call.guess()).max(0.0);
         let (back, lift) = match call.what {
-            Errand::Lease { units } => {
-                let over = total + lag - p.burst - regained;
-                let fits = (units - over.max(0.0)).max(0.0);
-                a.leases(now, fits, LAPSE);
-                (units - fits, lag)
+            Errand::Lease { units, need, guess } => {
+                let over = (total + lag - p.burst - regained).max(0.0);
+                let part = units - (over - guess).max(0.0);
+                a.leases(now, if part < need { 0.0 } else { part }, LAPSE);
+                // A part too small for the invocation would be of use to nobody, and what is beyond full is past.
+                let none = (units + guess).max(over).min(call.add);
+                (if part < need { none } else { units - part + guess.min(over) }, lag)
             }
             Errand::Lift { level } => (call.add - (level - before).clamp(0.0, call.add), 0.0),
             Errand::Return | Errand::Place => (0.0, 0.0),
--- a/src/state.rs
+++ b/src/state.rs
@@ -112,8 +112,15 @@
 // ======== for one customer, while it is seen
 #[derive(Clone, Copy)]
 pub enum Errand {
-    Lease { units: f64 },
-    Lift { level: f64 },
+    /// Units asked for; the least of them that lets the invocation in; what others are guessed to have spent.
+    Lease {
+        units: f64,
+        need: f64,
+        guess: f64,
+    },
+    Lift {
+        level: f64,
+    },
     Place,
     Return,
 }
@@ -126,6 +133,16 @@
     pub what: Errand,
 }
 
+impl Call {
+    /// Of what it adds, what others are guessed to have spent.
+    pub fn guess(&self) -> f64 {
+        match self.what {
+            Errand::Lease { guess, .. } => guess,
+            _ => 0.0,
+        }
+    }
+}
+
 #[derive(Default)]
 pub struct Account {
     pub plan: usize,
