--- a/gateway/tests/backlog.rs
+++ b/gateway/tests/backlog.rs
@@ -61,7 +61,8 @@
     let (long, mut backlog) = (call(200_000), Backlog::default());
     backlog.extend(&long[..80_000], STEP);
     backlog.start_dropping();
-    assert!(backlog.len() == 0 && !backlog.is_empty());
+    assert_eq!(backlog.len(), 0);
+    assert!(!backlog.is_empty());
     backlog.extend(&long[80_000..long.len() - 1], STEP);
     assert!(refused(&mut backlog) == 0 && !backlog.stops_dropping());
     backlog.extend(&[&long[long.len() - 1..], &call(1)[..]].concat(), STEP);
@@ -90,6 +91,7 @@
         backlog.extend(ping, STEP);
     }
     assert_eq!(refused(&mut backlog), MOST_DROPPED + 1);
-    assert!(!backlog.stops_dropping() && backlog.len() == 0);
+    assert_eq!(backlog.len(), 0);
+    assert!(!backlog.stops_dropping());
     assert_eq!(backlog.next_due(), Some(Due::TooMany));
 }
