A connection that ends behind an answer is not taken for the next attempt

Cause: an answer and the end of its connection come in one batch; the answer put the connection among the idle ones, the further attempt that the answer called for (-BUSY and a close, say) took it, and the end then counted that attempt as broken: it may have run, though nothing was ever written, and what must not be repeated failed. Now a batch marks the connections whose end stands in it; they are neither idle nor shared.

Tests of crossings, clients_that_leave, streams, loopback pass, reducer without a change to its expectations.

--- a/gateway/src/memory/backends.rs
+++ b/gateway/src/memory/backends.rs
@@ -5,6 +5,7 @@
 use crate::wire::resp::{figure, Answer, Reply};
 use quillramp::facts;
 use quillramp::types::*;
+use std::collections::HashSet;
 
 impl Reducer {
     pub(super) fn deliver(&mut self, now: f64, inv: Inv, tgt: Tgt) {
@@ -41,7 +42,10 @@
     /// Descriptors run short: behind another delivery on a connection that is up.
     pub(super) fn share(&mut self, now: f64, inv: Inv, delivery: usize, tgt: Tgt) {
         let most = self.about.per_link;
-        let up = self.links.iter_mut().filter(|(_, l)| l.tgt == tgt && l.up && l.carries.len() < most);
+        let up = self
+            .links
+            .iter_mut()
+            .filter(|(_, l)| l.tgt == tgt && l.up && !l.ending && l.carries.len() < most);
         let Some((&id, link)) = up.min_by_key(|(id, l)| (l.carries.len(), **id)) else {
             return self.ended.push((inv, delivery, Ending::NotConnected, Beside::default()));
         };
@@ -79,6 +83,9 @@
         let Some(link) = self.links.get_mut(&id).filter(|l| l.carries.is_empty()) else { return };
         let tgt = link.tgt;
         link.since = now;
+        if link.ending {
+            return;
+        }
         if self.places[tgt].takes() {
             self.places[tgt].idle.push(id);
         } else {
@@ -139,6 +146,16 @@
         self.links.remove(&id);
     }
 
+    /// These connections have ended, and what came before their ends in the batch is taken first.
+    pub(super) fn are_ending(&mut self, connections: &HashSet<Conn>) {
+        for conn in connections {
+            let Conn::Backend(id) = conn else { continue };
+            let Some(link) = self.links.get_mut(id) else { continue };
+            link.ending = true;
+            self.places[link.tgt].idle.retain(|idle| idle != id);
+        }
+    }
+
     /// A link broke or never came up: whatever had not left for it whole has not run. An answer that can't be read is
     /// one all the same: its backend is no worse than one that says it failed.
     pub(super) fn link_ended(&mut self, now: f64, id: u64, unsent: bool, why: Why) {
--- a/gateway/src/memory/kept.rs
+++ b/gateway/src/memory/kept.rs
@@ -81,6 +81,8 @@
 pub struct Link {
     pub tgt: Tgt,
     pub up: bool,
+    /// Its end stands further back in the batch: nothing new goes on it.
+    pub ending: bool,
     /// The deliveries on it, in the order of their answers.
     pub carries: VecDeque<Carried>,
     /// The number of the next delivery on it.
@@ -91,7 +93,7 @@
 impl Link {
     /// One that is about to be opened.
     pub fn new(tgt: Tgt, now: f64) -> Link {
-        Link { tgt, up: false, carries: VecDeque::new(), next_number: 0, since: now }
+        Link { tgt, up: false, ending: false, carries: VecDeque::new(), next_number: 0, since: now }
     }
 
     /// Puts a delivery behind the others on it; returns its number.
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -155,6 +155,7 @@
             events.iter().filter_map(|e| if let Event::Ended { conn, .. } = e { Some(*conn) } else { None });
         let over: HashSet<Conn> = over.collect();
         events.retain(|e| !matches!(e, Event::Up(conn) if over.contains(conn)));
+        self.are_ending(&over);
         for id in events.iter().filter_map(|e| if let Event::Command(id, _) = e { Some(*id) } else { None }) {
             *self.speak.entry(id).or_default() += 1;
             self.gate.iter_mut().for_each(|gate| gate.reads(id, 1));
--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -186,6 +186,27 @@
     assert_eq!(String::from_utf8_lossy(&said), "", "written for a client that had left");
 }
 
+/// Guards: a connection whose end had come together with an answer on it was taken for the next attempt; nothing was written
+/// to it, but that attempt counted as one that may have run, and what must not be repeated failed.
+#[test]
+fn a_connection_that_ends_behind_an_answer_is_not_taken_for_the_next_attempt() {
+    let (backend, at) = free();
+    let world = world_of("answer-and-end", at, |told| {
+        told.replace("\"aim_us\": 1000000", "\"aim_us\": 2900000") // no second choice is too late
+    });
+    let mut client = world.connect();
+    ask(&mut client, "order", 2900);
+    let (mut first, _) = backend.accept().expect("a connection");
+    let words = toy::command(&mut BufReader::new(first.try_clone().expect("a second handle")));
+    assert!(words.expect("a command").is_some());
+    world.stands();
+    first.write_all(b"-BUSY\r\n").expect("it is open");
+    drop(first);
+    toy::backend(backend, "a");
+    world.goes_on();
+    assert_eq!(toy::reply(&mut BufReader::new(client)).expect("a reply"), "a order body");
+}
+
 // ======== clients that leave
 
 /// Guards: of a client with 512 commands unanswered nothing more was read, so its leaving was not seen behind what it had
