A long value whose backend falls silent is given up once its client's time is up, not after 30 s

From `d` on it is looked every 0.2 s whether the backend has been silent for that long while the client had taken all there was; so it ends within 0.4 s of `d`. A client that reads late, or a value that still moves, is left alone; 30 s without any movement stays.

Test changed: the expectation of `a_long_value_passes_in_its_turn` has the new looks as lines beside all it had (21 more); the effect has a new name and its two bounds.

--- a/emulator/src/door.rs
+++ b/emulator/src/door.rs
@@ -55,7 +55,8 @@
     /// A backend's: the client that a value passes to.
     passes_to: Option<Conn>,
     muted: bool,
-    moved: bool,
+    /// When something of a value last passed.
+    moved: f64,
     /// The other side has ended it, and that lies behind what has not been read.
     ends: bool,
 }
@@ -71,7 +72,7 @@
             out,
             passes_to: None,
             muted: false,
-            moved: false,
+            moved: f64::NEG_INFINITY,
             ends: false,
         }
     }
@@ -283,7 +284,10 @@
         } else {
             unsent = !open.out.is_empty();
         }
-        open.moved |= !heard.pieces.is_empty();
+        let begun = heard.events.iter().any(|e| matches!(e, Event::Begun(_)));
+        if begun || !heard.pieces.is_empty() {
+            open.moved = ctx.now;
+        }
         let to = open.passes_to;
         if heard.whole {
             open.passes_to = None;
@@ -419,12 +423,14 @@
                 }
             }
             Effect::Pass(id, to) => self.pass(ctx, Conn::Backend(id), to.map(Conn::Client)),
-            Effect::Stalled(id) => {
-                let conn = Conn::Backend(id);
-                if let Some(open) = self.conns.get_mut(&conn) {
-                    if !std::mem::take(&mut open.moved) {
-                        self.over(ctx, conn, Why::Stalled, false);
-                    }
+            Effect::EndIfStalled { connection, silent_for, still_for } => {
+                let conn = Conn::Backend(connection);
+                let stalled = |open: &Open| {
+                    let still = ctx.now - open.moved;
+                    still >= still_for || still >= silent_for && open.intake.is_passing()
+                };
+                if self.conns.get(&conn).is_some_and(stalled) {
+                    self.over(ctx, conn, Why::Stalled, false);
                 }
             }
             Effect::Request(conn, request) => {
@@ -508,7 +514,8 @@
         if let Some(client) = to.and_then(|to| self.conns.get_mut(&to)) {
             client.out.buffer().extend_from_slice(format!("${left}\r\n").as_bytes());
         }
-        self.conns.get_mut(&conn).expect("just found").passes_to = to;
+        let open = self.conns.get_mut(&conn).expect("just found");
+        (open.passes_to, open.moved) = (to, ctx.now);
         self.decode(ctx, conn);
         if self.conns.get(&conn).is_some_and(|o| o.ends && !o.intake.waits()) {
             self.over(ctx, conn, Why::Closed, false);
--- a/gateway/src/memory/event.rs
+++ b/gateway/src/memory/event.rs
@@ -234,8 +234,13 @@
     },
     /// What has begun on this backend's connection passes to that client, or to nobody.
     Pass(u64, Option<u64>),
-    /// If nothing has passed since this was last asked for, the connection ends.
-    Stalled(u64),
+    /// Ends a backend's connection on which a value is on its way through, if its backend has been silent for so many
+    /// seconds while its client took all there was, or if nothing has moved for so many, for whatever reason.
+    EndIfStalled {
+        connection: u64,
+        silent_for: f64,
+        still_for: f64,
+    },
     Request(Conn, Request),
     Connect(Conn, SocketAddr),
     /// What was written before it leaves first.
--- a/gateway/src/memory/streams.rs
+++ b/gateway/src/memory/streams.rs
@@ -5,9 +5,12 @@
 use crate::wire::resp::Answer;
 use quillramp::types::*;
 
-/// A value of which nothing moves for so long is given up. The machine holds some megabytes for a slow client, and
-/// tells of room only when much of that has gone.
+/// A value of which nothing moves for so many seconds is given up. The machine holds some megabytes for a slow client,
+/// and tells of room only when much of that has gone.
 const STALL: f64 = 30.0;
+/// Once its client's time is up (`d`), a value is given up as soon as its backend has been silent for so many seconds. It
+/// would count as lost half a second after that time (PROTOCOL.md), and the answers behind it wait for it.
+const SILENCE: f64 = 0.2;
 
 impl Reducer {
     /// A value has begun: whatever else is out for its invocation is given up, and nothing is delivered again.
@@ -22,14 +25,14 @@
         };
         let took = now - held.deliveries[delivery].at;
         (held.begun, held.deliveries[delivery].took) = (Some(delivery), Some(took));
-        let (others, ends) = (held.deliveries.len(), held.ends.take());
+        let (others, ends, until) = (held.deliveries.len(), held.ends.take(), held.ask.until);
         ends.map(|key| self.timers.remove(&key));
         for other in (0..others).filter(|o| *o != delivery) {
             self.give_up(inv, other, Ending::Cancelled);
         }
         self.conclude(now);
         self.door.streaming(now, inv);
-        let ends = self.at(now + STALL, Due::Stalled(inv));
+        let ends = self.at(until.max(now), Due::Stalled(inv));
         self.held[inv].as_mut().expect("just found").ends = Some(ends);
         self.pass_on(inv);
     }
@@ -82,11 +85,13 @@
         self.client_gone(now, client);
     }
 
+    /// Its client's time is up, and has been for a while: nobody waits for a value that does not move.
     pub(super) fn stalled(&mut self, now: f64, inv: Inv) {
-        let ends = self.at(now + STALL, Due::Stalled(inv));
+        let ends = self.at(now + SILENCE, Due::Stalled(inv));
         let Some(held) = self.held[inv].as_mut() else { return };
         held.ends = Some(ends);
         let link = held.begun.and_then(|d| held.deliveries[d].link);
-        self.effects.extend(link.map(Effect::Stalled));
+        let end = |connection| Effect::EndIfStalled { connection, silent_for: SILENCE, still_for: STALL };
+        self.effects.extend(link.map(end));
     }
 }
--- a/gateway/src/sockets/drive.rs
+++ b/gateway/src/sockets/drive.rs
@@ -150,9 +150,13 @@
                     batch.written.extend(to.map(Conn::Client));
                 }
             }
-            Effect::Stalled(id) => {
-                let conn = Conn::Backend(id);
-                if self.links.0.borrow().get(&conn).is_some_and(|l| !l.moved()) {
+            Effect::EndIfStalled { connection, silent_for, still_for } => {
+                let conn = Conn::Backend(connection);
+                let stalled = |link: &Arc<Link>| {
+                    let still = link.still_for();
+                    still >= still_for || still >= silent_for && link.is_silent()
+                };
+                if self.links.0.borrow().get(&conn).is_some_and(stalled) {
                     self.end(conn, batch);
                     self.common.inbox.push(Event::Ended { conn, why: Why::Stalled, unsent: false });
                 }
--- a/gateway/src/sockets/link.rs
+++ b/gateway/src/sockets/link.rs
@@ -12,6 +12,7 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::Instant;
 
 const READABLE: usize = 0x1 | 0x8 | 0x10 | 0x2000; // in, error, hang-up, the other side's end
 const WRITABLE: usize = 0x4;
@@ -125,11 +126,11 @@
     /// Nothing more is heard; for an operator: its answer is the last that leaves.
     muted: AtomicBool,
     intake: AtomicRefCell<Intake>,
-    /// A backend's: the client that a value passes to; it was told to go on; something has passed; it waits for its
-    /// client.
+    /// A backend's: the client that a value passes to; it was told to go on; when something last passed; it waits
+    /// for its client.
     passes_to: AtomicRefCell<Option<Arc<Link>>>,
     resumed: AtomicBool,
-    moved: AtomicBool,
+    moved: AtomicRefCell<Instant>,
     waits: AtomicBool,
     /// A client's: what passes to it, and how much of that is counted as waiting.
     source: AtomicRefCell<Option<Arc<Link>>>,
@@ -159,7 +160,8 @@
         let (out, owed, closed) = (AtomicRefCell::default(), AtomicUsize::new(0), AtomicBool::new(false));
         let muted = AtomicBool::new(false);
         let (intake, source) = (AtomicRefCell::new(Intake::new(conn)), AtomicRefCell::default());
-        let [resumed, moved, waits] = [(); 3].map(|()| AtomicBool::new(false));
+        let [resumed, waits] = [(); 2].map(|()| AtomicBool::new(false));
+        let moved = AtomicRefCell::new(Instant::now());
         let counted = AtomicUsize::new(0);
         let link = Arc::new(Link {
             conn,
@@ -239,13 +241,21 @@
             *to.source.borrow_mut() = Some(self.clone());
         }
         *self.passes_to.borrow_mut() = to;
+        *self.moved.borrow_mut() = Instant::now();
         self.resumed.store(true, Ordering::Relaxed);
         self.waker.wakeup();
     }
 
-    /// Whether something has passed since this was last asked.
-    pub fn moved(&self) -> bool {
-        self.moved.swap(false, Ordering::Relaxed)
+    /// For how many seconds nothing has passed.
+    pub fn still_for(&self) -> f64 {
+        self.moved.borrow().elapsed().as_secs_f64()
+    }
+
+    /// A value is on its way through, all that has come of it has left for its client, and more would be read.
+    pub fn is_silent(&self) -> bool {
+        let to = self.passes_to.borrow();
+        let flushed = to.as_ref().is_some_and(|to| to.flushed());
+        flushed && self.intake.borrow().is_passing() && !self.waits.load(Ordering::Relaxed)
     }
 
     /// How much of a value may be read now; all of it where nobody waits for it.
@@ -595,6 +605,9 @@
 impl Hears for Told<'_> {
     fn event(&mut self, event: Event, long: usize) {
         let link = self.0;
+        if matches!(event, Event::Begun(_)) {
+            *link.moved.borrow_mut() = Instant::now();
+        }
         if matches!(event, Event::Command(..)) {
             link.owed.fetch_add(1, Ordering::Relaxed);
             link.long.borrow_mut().push_back(long);
@@ -607,7 +620,7 @@
     }
     fn piece(&mut self, bytes: &[u8], end: bool) {
         let link = self.0;
-        link.moved.store(true, Ordering::Relaxed);
+        *link.moved.borrow_mut() = Instant::now();
         let to = link.passes_to.borrow().clone();
         if let Some(to) = to.as_ref().filter(|to| !to.closed.load(Ordering::Relaxed)) {
             let mut out = to.out.borrow_mut();
--- a/gateway/tests/reducer.rs
+++ b/gateway/tests/reducer.rs
@@ -74,7 +74,9 @@
         Effect::Part(_, Why::Idle) => return None, // see `settle`
         Effect::Part(id, _) => format!("part with client {id} if it is quiet"),
         Effect::Pass(id, to) => format!("backend link {id} passes to client {to:?}"),
-        Effect::Stalled(id) => format!("backend link {id} ends if nothing moved"),
+        Effect::EndIfStalled { connection, silent_for, still_for } => {
+            format!("backend link {connection} ends if silent for {silent_for} s, or still for {still_for} s")
+        }
         Effect::Mute(id) => format!("read client {id} no more"),
         Effect::StopAccepting => "stop accepting".into(),
         Effect::Exit => "exit once all is written".into(),
@@ -853,7 +855,28 @@
     b.is_but_list(expect![[r#"
         0.050 client 1: $5 first
         0.050 backend link 5 passes to client Some(1)
+        0.800 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        1.000 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        1.200 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        1.400 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        1.600 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        1.800 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        2.000 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        2.200 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        2.400 backend link 5 ends if silent for 0.2 s, or still for 30 s
         2.500 log: connection client 2 ended: idle
+        2.600 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        2.800 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        3.000 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        3.200 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        3.400 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        3.600 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        3.800 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        4.000 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        4.200 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        4.400 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        4.600 backend link 5 ends if silent for 0.2 s, or still for 30 s
+        4.800 backend link 5 ends if silent for 0.2 s, or still for 30 s
         5.000 operator 9: 200 {"completed":{"look":1,"order":0},"rejected":{"look":0,"order":0},"failed":{"look":0,"order":0},"upstream_requests":0,"pending":1,"members":2,"members_unavailable":0,"config_reloads":0,"config_reload_errors":0}
         5.000 client 1: 
         5.000 backend link 5: look for 799 ms
