A start makes one coroutine from the main thread and few stacks beforehand: nothing on it spins

The main thread made three coroutines; each is pushed into the runtime's global queue, and the worker, woken by the first, spins in may_queue's `BlockNode::get` (mpsc.rs:96) for one whose turn is taken and not yet filled.

Change: main makes one coroutine, which makes the others on the worker. The runtime makes 64 stacks beforehand, not 1,000. sockets/accept.rs and peers.rs (another owner's): `start` is split into what can fail and the coroutine.

--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -6,7 +6,7 @@
 use quillramp_gateway::memory::reducer::{Parties, Reducer};
 use quillramp_gateway::memory::room;
 use quillramp_gateway::sockets::{
-    accept, accept::Who, clock::Clock, drive::Driver, drive::Links, inbox::Inbox,
+    accept, accept::Acceptor, accept::Who, clock::Clock, drive::Driver, drive::Links, inbox::Inbox,
 };
 use quillramp_gateway::sockets::{link::Common, peers::Peers};
 use std::io::Write;
@@ -17,6 +17,9 @@
 /// Stacks, in words: of a connection's coroutine, and of the one that decides.
 const STACK: usize = 0x2000;
 const DRIVER_STACK: usize = 0x20000;
+/// Stacks of coroutines that are made at the start and kept for connections to come. Each is mapped, protected and touched
+/// before anything is served, so a start waits for them; the runtime's own figure is 1,000.
+const POOL: usize = 64;
 
 /// A gateway that holds customers to their quotas before a shared back end.
 ///
@@ -66,7 +69,7 @@
     let by_operator = operator::read(&platform)?;
     logger::told(by_operator.log.as_ref());
     let waiting = signals::signals()?;
-    may::config().set_workers(1).set_stack_size(STACK).set_worker_pin(false);
+    may::config().set_workers(1).set_stack_size(STACK).set_pool_capacity(POOL).set_worker_pin(false);
 
     let inbox = Arc::new(Inbox::new()?);
     let sockets = descriptors::allowed(told.limits.sockets);
@@ -77,7 +80,7 @@
     let listen = |at| accept::listen(at).map_err(|e| format!("{at}: {e}"));
     let listener = passed.map_or_else(|| listen(told.listen), Ok)?;
     let operators = mgmt.map(|at| listen(at).map_err(|e| format!("mgmt: {e}"))).transpose()?;
-    let peers = told.peer_listen.map(|at| Peers::start(at, shares, inbox.clone())).transpose()?;
+    let peers = told.peer_listen.map(|at| Peers::bind(at, shares)).transpose()?;
     // Where neither is there, nothing can be changed by hand and no other process takes over.
     let (shared, keeper) =
         if shares || mgmt.is_some() { Keeper::start(&told.name, inbox.clone())? } else { Default::default() };
@@ -96,18 +99,23 @@
     let mut reducer = Reducer::new(clock.now(), start, parties, &told.known);
     reducer.share_is(clock.now(), shared);
     reducer.declares(clock.now(), operator::declares(by_operator, &platform));
-    let shared = || (links.clone(), common.clone(), stop_accepting.clone());
-    let (for_clients, for_operators) = (shared(), shared());
+    let acceptor =
+        |listener, who| Acceptor::new((listener, who), links.clone(), common.clone(), stop_accepting.clone());
+    let clients = acceptor(listener, Who::Clients { passed: shares })?;
+    let operators = operators.map(|listener| acceptor(listener, Who::Operators)).transpose()?;
     let place = keeper.as_ref().map(|k| k.place.clone());
+    let hears = inbox.clone();
     let driver = Driver { clock, common, links, peers, stop_accepting, keeper };
     let builder = may::coroutine::Builder::new().stack_size(DRIVER_STACK);
-    may::go!(builder, move || driver.run(reducer)).map_err(|e| e.to_string())?;
-    let (links, common, stop) = for_clients;
-    accept::start((listener, Who::Clients { passed: shares }), links, common, stop)?;
-    if let Some(listener) = operators {
-        let (links, common, stop) = for_operators;
-        accept::start((listener, Who::Operators), links, common, stop)?;
-    }
+    // The one coroutine that another thread than the worker makes; it makes the others. The worker waits for a second one
+    // that is half in its queue by a spin (`may_queue::mpsc`, `BlockNode::get`), not by a wait.
+    may::go!(builder, move || {
+        driver.peers.iter().for_each(|peers| peers.start(hears.clone()));
+        clients.start();
+        operators.into_iter().for_each(Acceptor::start);
+        driver.run(reducer)
+    })
+    .map_err(|e| e.to_string())?;
     tracing::info!("{} serves at {}", told.name, told.listen);
     signals::wait(waiting, inbox, place, &platform)
 }
--- a/gateway/src/sockets/accept.rs
+++ b/gateway/src/sockets/accept.rs
@@ -26,16 +26,31 @@
     Operators,
 }
 
-pub fn start(
-    (listener, who): (TcpListener, Who),
+/// A listening socket whose coroutine is still to be started.
+pub struct Acceptor {
+    listener: CoIo<TcpListener>,
+    who: Who,
     links: Arc<Links>,
     common: Arc<Common>,
     stop: Arc<AtomicBool>,
-) -> Result<(), String> {
-    let listener = CoIo::new(listener).map_err(|e| format!("listen: {e:?}"))?;
-    common.acceptors.borrow_mut().push(listener.waker());
-    may::go!(move || serve((&listener, who), &links, &common, &stop));
-    Ok(())
+}
+
+impl Acceptor {
+    pub fn new(
+        (listener, who): (TcpListener, Who),
+        links: Arc<Links>,
+        common: Arc<Common>,
+        stop: Arc<AtomicBool>,
+    ) -> Result<Acceptor, String> {
+        let listener = CoIo::new(listener).map_err(|e| format!("listen: {e:?}"))?;
+        common.acceptors.borrow_mut().push(listener.waker());
+        Ok(Acceptor { listener, who, links, common, stop })
+    }
+
+    /// Accepts from now on.
+    pub fn start(self) {
+        may::go!(move || serve((&self.listener, self.who), &self.links, &self.common, &self.stop));
+    }
 }
 
 fn serve((listener, who): (&CoIo<TcpListener>, Who), links: &Links, common: &Arc<Common>, stop: &AtomicBool) {
--- a/gateway/src/sockets/peers.rs
+++ b/gateway/src/sockets/peers.rs
@@ -14,7 +14,7 @@
 impl Peers {
     /// `shared`: another process of this front door may have the address too. Both may send from it; what comes is
     /// the newest one's.
-    pub fn start(at: SocketAddr, shared: bool, inbox: Arc<Inbox>) -> Result<Arc<Peers>, String> {
+    pub fn bind(at: SocketAddr, shared: bool) -> Result<Arc<Peers>, String> {
         let bind = || -> std::io::Result<UdpSocket> {
             let socket = socket2::Socket::new(socket2::Domain::for_address(at), socket2::Type::DGRAM, None)?;
             socket.set_reuse_address(shared)?;
@@ -22,8 +22,12 @@
             Ok(socket.into())
         };
         let socket = bind().map_err(|e| format!("{at}: {e}"))?;
-        let peers = Arc::new(Peers(CoIo::new(socket).map_err(|e| format!("{at}: {e:?}"))?));
-        let own = peers.clone();
+        Ok(Arc::new(Peers(CoIo::new(socket).map_err(|e| format!("{at}: {e:?}"))?)))
+    }
+
+    /// Reads what comes from now on.
+    pub fn start(self: &Arc<Peers>, inbox: Arc<Inbox>) {
+        let own = self.clone();
         may::go!(move || loop {
             own.0.wait_io();
             let mut body = [0; ROOM];
@@ -31,7 +35,6 @@
                 inbox.push(Event::Datagram { from, body: body[..n].to_vec() });
             }
         });
-        Ok(peers)
     }
 
     /// Late or not at all: a datagram that can't leave now is lost.
