make run ends clean on Ctrl-C and says what listens where; toy call says when it got no answer

Cause: the shell's trap ended the toy world twice, and said 'No such process' of the second time. The front door did not say where operators call, nor the toy world where its parts listen.

A connection that ends without an answer printed one: that is an error now.

--- a/Makefile
+++ b/Makefile
@@ -13,8 +13,9 @@
 # The toy world and one front door on loopback; Ctrl-C ends both.
 run: build
 	cargo build --release --locked -p quillramp-gateway --example toy
-	target/release/examples/toy & toy=$$!; trap "kill $$toy" EXIT INT TERM; sleep 0.2; \
-	  EDGE_CONFIG=examples/configuration.json target/release/quillramp
+	@target/release/examples/toy & toy=$$!; \
+	  trap 'kill $$toy 2>/dev/null; wait $$toy 2>/dev/null' EXIT; trap : INT TERM; \
+	  sleep 0.2; EDGE_CONFIG=examples/configuration.json target/release/quillramp
 
 ci:
 	bash .ci/run
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -173,7 +173,11 @@
         let mut from = BufReader::new(to.try_clone()?);
         for _ in 0..times.parse().unwrap_or(1) {
             to.write_all(invocation(operation, 1000).as_bytes())?;
-            println!("{}", reply(&mut from)?);
+            let said = reply(&mut from)?;
+            if said.is_empty() {
+                return Err(std::io::Error::other("the front door ended the connection without an answer"));
+            }
+            println!("{said}");
         }
         return Ok(());
     }
@@ -189,7 +193,7 @@
     let (a, b) = (entry("s-a", 7411), entry("s-b", 7412));
     let listing = format!(r#"{{"index":1,"snapshot":true,"endpoints":[{a},{b}]}}"#);
     list(TcpListener::bind("127.0.0.1:7401")?, listing);
-    println!("backends, counter and list service are up; end with Ctrl-C");
+    println!("backends listen on 127.0.0.1:7411 and 7412, the counter on 7402, the list service on 7401; end with Ctrl-C");
     loop {
         std::thread::park();
     }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -117,6 +117,9 @@
     })
     .map_err(|e| e.to_string())?;
     tracing::info!("{} serves at {}", told.name, told.listen);
+    if let Some(at) = mgmt {
+        tracing::info!("operators call at {at}");
+    }
     signals::wait(waiting, inbox, place, &platform)
 }
 
