Drill: frames, codes, events, instances and actions apart; its test in a test file

Change: frame/ (batch, record, reply), codes as enums, events as typed values, actions as functions, an instance and the host a file each, a library beside the binary so that the test stands in tests/. The errors' texts are as before.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -1,21 +1,16 @@
-//! The adapter: the wire on standard input and output, the decisions of `quillramp` behind it.
-mod frame;
-mod host;
-
+//! Speaks the wire of the bench on standard input and output.
+use quillramp_drill::frame::{self, Reply};
+use quillramp_drill::Host;
 use std::io::{self, Write};
 use std::process::ExitCode;
 
 fn run() -> io::Result<()> {
     let (mut input, mut output) = (io::stdin().lock(), io::stdout().lock());
-    let mut host = host::Host::default();
+    let mut host = Host::default();
     while let Some(batch) = frame::read(&mut input)? {
         let reply = match batch {
             Ok(batch) => host.answer(&batch),
-            Err(e) => {
-                let mut reply = frame::Reply::default();
-                reply.with_tail(130, 1, e.0.as_bytes());
-                reply.frame()
-            }
+            Err(malformed) => Reply::of_malformed(&malformed),
         };
         output.write_all(&reply)?;
         output.flush()?;
