--- a/gateway/src/memory/roster.rs
+++ b/gateway/src/memory/roster.rs
@@ -3,14 +3,14 @@
 use super::kept::Due;
 use super::reducer::Reducer;
 use quillramp::types::*;
-use quillramp_presence::Roster;
+use quillramp_presence::{Count, Membership};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Outside numbers of customers lie below it: groups of front doors are named from here on.
 const NAMES: u64 = 1 << 40;
 
 pub struct Roll {
-    roster: Roster,
+    membership: Membership,
     every: f64,
     /// The customer's index that stands for a group.
     groups: BTreeMap<Customer, usize>,
@@ -28,13 +28,13 @@
     pub fn told(&mut self, now: f64, name: CountName, result: Counted) {
         let Some(&group) = self.groups.get(&name.customer) else { return };
         let total = if let Counted::Total(total) = result { Some(total) } else { None };
-        self.roster.told(now, (group, name.series), total);
+        self.membership.call_answered(now, Count { group, interval: name.series }, total);
     }
 
     /// The part of these front doors that the counter does not hear of. That somebody asks is remembered.
     pub fn absent(&mut self, now: f64, of: Doors) -> f64 {
-        self.roster.wants(now, of.first, of.number);
-        1.0 - self.roster.present(now, of.first, of.number)
+        self.membership.watch(now, of.first, of.number);
+        1.0 - self.membership.present_fraction(now, of.first, of.number)
     }
 }
 
@@ -48,7 +48,7 @@
             .map_or("no roster on the counter".into(), |e| format!("roster on the counter, every {e} s"));
         self.effects.push(Effect::Log(says));
         self.roster = every.map(|every| Roll {
-            roster: Roster::new(self.about.doors, self.about.slot, every),
+            membership: Membership::new(self.about.doors, self.about.slot, every),
             every,
             groups: BTreeMap::new(),
             missing: BTreeSet::new(),
@@ -61,25 +61,25 @@
 
     /// Its calls that are due; its timer goes on as long as there is a roster.
     pub(super) fn call_roll(&mut self, now: f64) {
-        let Some(Roll { roster, groups, missing, at, .. }) = self.roster.as_mut().filter(|r| now >= r.at)
+        let Some(Roll { membership, groups, missing, at, .. }) = self.roster.as_mut().filter(|r| now >= r.at)
         else {
             return;
         };
         let mut calls = vec![];
-        for call in roster.due(now) {
-            let customer = self.customers.index(&(NAMES + call.group as u64));
-            groups.insert(customer, call.group);
-            let name = CountName { customer, series: call.span };
-            calls.push(CounterCall { name, add: call.add, lives: call.lives });
+        for call in membership.due_calls(now) {
+            let customer = self.customers.index(&(NAMES + call.count.group as u64));
+            groups.insert(customer, call.count.group);
+            let name = CountName { customer, series: call.count.interval };
+            calls.push(CounterCall { name, add: call.amount, lives: call.lifetime });
         }
-        let gone = roster.missing(now);
+        let gone = membership.absent(now);
         if gone != *missing {
             let names: Vec<String> = gone.iter().map(usize::to_string).collect();
             let says = if names.is_empty() { "none".into() } else { names.join(", ") };
             self.effects.push(Effect::Log(format!("front doors that the counter does not hear of: {says}")));
             *missing = gone;
         }
-        let next = roster.next(now);
+        let next = membership.next_call(now);
         *at = next;
         for call in calls {
             self.count(now, call);
--- a/presence/tests/roster.rs
+++ b/presence/tests/membership.rs
@@ -1,12 +1,12 @@
-//! Rosters on counters that are well, split, lost and silent.
+//! Memberships on counters that are well, split, lost and silent.
 use proptest::prelude::*;
-use quillramp_presence::Roster;
+use quillramp_presence::{Count, Membership};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Front doors, each with the counter that it reaches, if it reaches one.
 struct Fleet {
-    rosters: Vec<Roster>,
-    counters: Vec<BTreeMap<(usize, u32), f64>>,
+    memberships: Vec<Membership>,
+    counters: Vec<BTreeMap<Count, f64>>,
     reach: Vec<Option<usize>>,
     now: f64,
     calls: usize,
@@ -14,10 +14,10 @@
 
 impl Fleet {
     fn of(doors: usize) -> Fleet {
-        let mut rosters: Vec<Roster> = (0..doors).map(|d| Roster::new(doors, d, 1.0)).collect();
-        rosters.iter_mut().for_each(|r| r.wants(1000.0, 0, doors));
+        let mut memberships: Vec<Membership> = (0..doors).map(|d| Membership::new(doors, d, 1.0)).collect();
+        memberships.iter_mut().for_each(|m| m.watch(1000.0, 0, doors));
         Fleet {
-            rosters,
+            memberships,
             counters: vec![BTreeMap::new(); 2],
             reach: vec![Some(0); doors],
             now: 1000.0,
@@ -27,16 +27,16 @@
 
     fn until(&mut self, now: f64) -> &mut Fleet {
         while self.now < now {
-            for (d, roster) in self.rosters.iter_mut().enumerate() {
-                roster.wants(self.now, 0, self.reach.len());
-                for call in roster.due(self.now) {
+            for (d, membership) in self.memberships.iter_mut().enumerate() {
+                membership.watch(self.now, 0, self.reach.len());
+                for call in membership.due_calls(self.now) {
                     self.calls += 1;
                     let total = self.reach[d].map(|c| {
-                        let total = self.counters[c].entry((call.group, call.span)).or_default();
-                        *total += call.add;
+                        let total = self.counters[c].entry(call.count).or_default();
+                        *total += call.amount;
                         *total
                     });
-                    roster.told(self.now, (call.group, call.span), total);
+                    membership.call_answered(self.now, call.count, total);
                 }
             }
             self.now += 0.05;
@@ -45,7 +45,7 @@
     }
 
     fn missing(&self, door: usize) -> Vec<usize> {
-        self.rosters[door].missing(self.now).into_iter().collect()
+        self.memberships[door].absent(self.now).into_iter().collect()
     }
 }
 
@@ -54,8 +54,8 @@
     let mut f = Fleet::of(14);
     f.until(1010.0);
     assert!((0..14).all(|d| f.missing(d).is_empty()));
-    assert_eq!(f.rosters[3].present(f.now, 12, 4), 1.0);
-    assert!(f.rosters.iter().all(|r| r.lost == 0));
+    assert_eq!(f.memberships[3].present_fraction(f.now, 12, 4), 1.0);
+    assert!(f.memberships.iter().all(|m| m.lost_heartbeats == 0));
     // One sign and three readings a span each.
     assert_eq!(f.calls, 14 * 4 * 10);
 }
@@ -71,7 +71,8 @@
     assert_eq!(f.missing(13), vec![0, 2, 4, 6, 8, 10, 12]);
     // Both parts of any customer's front doors make one.
     for (first, number) in [(0, 4), (3, 3), (12, 5)] {
-        let parts: f64 = [0, 13].iter().map(|d| f.rosters[*d].present(f.now, first, number)).sum();
+        let parts: f64 =
+            [0, 13].iter().map(|d| f.memberships[*d].present_fraction(f.now, first, number)).sum();
         assert!((parts - 1.0).abs() < 1e-9, "{first} {number}: {parts}");
     }
     f.reach = vec![Some(0); 14];
@@ -101,7 +102,7 @@
     f.until(1005.8);
     f.counters[0].clear();
     f.until(1007.5);
-    assert!(f.rosters.iter().any(|r| r.lost > 0));
+    assert!(f.memberships.iter().any(|m| m.lost_heartbeats > 0));
     assert!((0..4).all(|d| f.missing(d).is_empty()));
 }
 
@@ -110,7 +111,7 @@
     let mut f = Fleet::of(4);
     f.until(1005.0);
     for i in 0..8 {
-        f.rosters[0] = Roster::new(4, 0, 1.0);
+        f.memberships[0] = Membership::new(4, 0, 1.0);
         f.until(1005.0 + 0.1 * f64::from(i));
     }
     f.until(1009.0);
@@ -119,12 +120,14 @@
 
 #[test]
 fn groups_that_nobody_asks_about_are_let_go() {
-    let mut roster = Roster::new(300, 7, 1.0);
-    roster.wants(1000.0, 290, 20);
-    let groups = |r: &mut Roster, now: f64| r.due(now).into_iter().map(|c| c.group).collect::<BTreeSet<_>>();
-    assert_eq!(groups(&mut roster, 1000.9), BTreeSet::from([0, 1, 48, 49]));
-    assert_eq!(groups(&mut roster, 1040.9), BTreeSet::from([1]));
-    let due = roster.next(1040.9);
+    let mut membership = Membership::new(300, 7, 1.0);
+    membership.watch(1000.0, 290, 20);
+    let groups = |m: &mut Membership, now: f64| {
+        m.due_calls(now).into_iter().map(|c| c.count.group).collect::<BTreeSet<_>>()
+    };
+    assert_eq!(groups(&mut membership, 1000.9), BTreeSet::from([0, 1, 48, 49]));
+    assert_eq!(groups(&mut membership, 1040.9), BTreeSet::from([1]));
+    let due = membership.next_call(1040.9);
     assert!(due > 1040.9 && due <= 1042.0, "{due}");
 }
 
@@ -157,7 +160,7 @@
         let mut whole = of(None).into_iter().filter(|d| within(*d)).count() as f64 / number as f64;
         for side in [Some(0), Some(1)] {
             let own: Vec<usize> = of(side).into_iter().filter(|d| within(*d)).collect();
-            whole += own.first().map_or(0.0, |d| f.rosters[*d].present(f.now, first, number));
+            whole += own.first().map_or(0.0, |d| f.memberships[*d].present_fraction(f.now, first, number));
         }
         prop_assert!(whole <= 1.0 + 1e-9, "{}", whole);
     }
