Admission: AdmissionController with limits, eviction, addresses and audit a file each

Change: a module a job; verdicts and reject reasons as enums, OpenConnection and Sizes in place of tuples, thiserror types for networks and the audit. The limits keep the names of the operator's file. Callers in gateway/src/memory (admission, room, clients, broker, reducer) and operator/src/admission.rs follow by name.

--- /dev/null
+++ b/admission/src/eviction.rs
@@ -0,0 +1,111 @@
+//! Which connection is closed first to make room. One that is owed an answer never is.
+use crate::connection::Connection;
+use crate::{AdmissionController, ConnectionId};
+use std::cmp::Ordering;
+use std::net::IpAddr;
+
+/// How far a connection has come; the lower ones are closed first.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Progress {
+    Silent,
+    PartialCommand,
+    HasSpoken,
+}
+
+/// The order in which idle connections are closed, as `docs/admission.md` declares it.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct EvictionRank {
+    is_known: bool,
+    progress: Progress,
+    /// Of addresses with many connections first.
+    connections: std::cmp::Reverse<usize>,
+}
+
+impl AdmissionController {
+    /// The idle connection to close when descriptors run short, in the order of `docs/admission.md`; none where all are owed an
+    /// answer. It counts no more.
+    pub fn evict(&mut self, now: f64) -> Option<ConnectionId> {
+        let evicted = self.first_to_evict(now, |_| true)?;
+        self.connection_closed(evicted);
+        Some(evicted)
+    }
+
+    /// Connections that took too long for their first command. They count until they are closed.
+    pub fn overdue(&self, now: f64) -> Vec<ConnectionId> {
+        let late = |connection: &Connection| connection.is_silent() && self.is_late(now, connection);
+        self.connections.iter().filter(|(_, connection)| late(connection)).map(|(id, _)| *id).collect()
+    }
+
+    /// The connection of an unknown address that is closed first.
+    pub(crate) fn first_unknown(&self, now: f64) -> Option<ConnectionId> {
+        let is_known = |from: IpAddr| self.addresses.get(&from).is_some_and(|address| address.is_known(now));
+        self.first_to_evict(now, |from| !is_known(from))
+    }
+
+    /// The longest silent connection of an address, of those that had time for a command.
+    pub(crate) fn silent_of(&self, now: f64, from: IpAddr) -> Option<ConnectionId> {
+        let silent = self.connections_of(from).filter(|(_, connection)| connection.is_silent());
+        longest_inactive(silent.filter(|(_, connection)| self.is_late(now, connection)))
+    }
+
+    /// The longest idle connection of the customer that has most connections of an address, if that is more than its part.
+    pub(crate) fn idlest_of_largest_customer(&self, from: IpAddr) -> Option<ConnectionId> {
+        let address = self.addresses.get(&from)?;
+        let largest = address.connections_by_customer.highest()?;
+        let sharing = (address.connections_by_customer.customers() + 1).max(2);
+        let part = address.connections.len() / sharing;
+        if largest.count <= part {
+            return None;
+        }
+        let is_candidate = |connection: &Connection| {
+            connection.customer == Some(largest.customer)
+                && connection.is_idle()
+                && connection.partial_since.is_none()
+        };
+        longest_inactive(self.connections_of(from).filter(|(_, connection)| is_candidate(connection)))
+    }
+
+    fn connections_of(&self, from: IpAddr) -> impl Iterator<Item = (ConnectionId, &Connection)> {
+        let ids = self.addresses.get(&from).into_iter().flat_map(|address| &address.connections);
+        ids.filter_map(|id| self.connections.get(id).map(|connection| (*id, connection)))
+    }
+
+    fn is_late(&self, now: f64, connection: &Connection) -> bool {
+        connection.last_active <= now - self.limits.first_word
+    }
+
+    fn first_to_evict(&self, now: f64, includes: impl Fn(IpAddr) -> bool) -> Option<ConnectionId> {
+        let is_candidate = |connection: &Connection| connection.is_idle() && includes(connection.from);
+        let candidates = self.connections.iter().filter(|(_, connection)| is_candidate(connection));
+        let first = candidates.min_by(|a, b| {
+            let by_rank = self.rank(now, a.1).cmp(&self.rank(now, b.1));
+            by_rank.then_with(|| by_inactivity((*a.0, a.1), (*b.0, b.1)))
+        });
+        first.map(|(id, _)| *id)
+    }
+
+    fn rank(&self, now: f64, connection: &Connection) -> EvictionRank {
+        let address = self.addresses.get(&connection.from);
+        let progress = match (connection.has_spoken, connection.partial_since) {
+            (false, None) => Progress::Silent,
+            (_, Some(_)) => Progress::PartialCommand,
+            (true, None) => Progress::HasSpoken,
+        };
+        EvictionRank {
+            is_known: address.is_some_and(|address| address.is_known(now)),
+            progress,
+            connections: std::cmp::Reverse(address.map_or(0, |address| address.connections.len())),
+        }
+    }
+}
+
+fn longest_inactive<'a>(
+    connections: impl Iterator<Item = (ConnectionId, &'a Connection)>,
+) -> Option<ConnectionId> {
+    connections.min_by(|a, b| by_inactivity(*a, *b)).map(|(id, _)| id)
+}
+
+/// The longest inactive first, then the lowest number.
+fn by_inactivity(a: (ConnectionId, &Connection), b: (ConnectionId, &Connection)) -> Ordering {
+    a.1.last_active.total_cmp(&b.1.last_active).then(a.0.cmp(&b.0))
+}
--- a/gateway/src/memory/admission.rs
+++ b/gateway/src/memory/admission.rs
@@ -4,7 +4,7 @@
 use super::reducer::Reducer;
 use crate::wire::resp::Answer;
 use quillramp::types::Inv;
-use quillramp_admission::{Entry, Gate, Limits, May};
+use quillramp_admission::{AdmissionController, CommandVerdict, ConnectionVerdict, Limits, OpenConnection};
 use std::net::IpAddr;
 
 impl Reducer {
@@ -32,16 +32,17 @@
         };
         self.effects.push(Effect::Log(says));
         match (&mut self.gate, limits) {
-            (Some(gate), Some(limits)) => gate.limits(now, limits),
+            (Some(gate), Some(limits)) => gate.set_limits(now, limits),
             (_, None) => self.gate = None,
             (None, Some(limits)) => {
                 // Who is here already is held too.
-                let mut gate = Gate::new(limits);
+                let mut gate = AdmissionController::new(limits);
                 for (id, client) in &self.clients {
                     let Some(from) = client.from else { continue };
                     let of = |inv: Inv| self.held[inv].as_ref().map(|h| h.call.customer);
-                    let owed = client.owed.iter().filter_map(|(inv, _)| inv.and_then(of)).collect();
-                    gate.already(now, *id, from, (client.said, owed));
+                    let unanswered = client.owed.iter().filter_map(|(inv, _)| inv.and_then(of)).collect();
+                    let open = OpenConnection { id: *id, from, has_spoken: client.said, unanswered };
+                    gate.add_open(now, open);
                 }
                 self.gate = Some(gate);
             }
@@ -50,19 +51,20 @@
 
     /// Whether a connection that has just come is held. One that is not hears why, and ends.
     pub(super) fn admitted(&mut self, now: f64, id: u64, from: IpAddr) -> bool {
-        let entry = self.gate.as_mut().map_or(Entry::Take, |gate| gate.comes(now, id, from));
+        let gate = self.gate.as_mut();
+        let verdict = gate.map_or(ConnectionVerdict::Accept, |gate| gate.admit_connection(now, id, from));
         // What came with it in this batch was read before it was held.
         let read = self.speak.get(&id).copied().unwrap_or(0);
-        self.gate.iter_mut().for_each(|gate| gate.reads(id, read));
-        match entry {
-            Entry::Take => true,
-            Entry::InPlaceOf(other) => {
+        self.gate.iter_mut().for_each(|gate| gate.commands_read(id, read));
+        match verdict {
+            ConnectionVerdict::Accept => true,
+            ConnectionVerdict::Replace(other) => {
                 self.let_go(other, Why::Crowded);
                 true
             }
-            Entry::TurnAway(why) => {
+            ConnectionVerdict::Reject(reason) => {
                 self.turned_away = true;
-                self.effects.push(Effect::TurnAway(id, why.code()));
+                self.effects.push(Effect::TurnAway(id, reason.message()));
                 self.close(Conn::Client(id), Why::TurnedAway);
                 false
             }
@@ -71,9 +73,9 @@
 
     /// What a client hears in place of an answer, where its command may not be taken now.
     pub(super) fn may_ask(&mut self, now: f64, id: u64, customer: u64) -> Option<Answer> {
-        match self.gate.as_mut()?.asks(now, id, customer) {
-            May::Ask => None,
-            May::Later(seconds) => {
+        match self.gate.as_mut()?.admit_command(now, id, customer) {
+            CommandVerdict::Accept => None,
+            CommandVerdict::RetryAfter(seconds) => {
                 let retry_after_ms = self.about.advises.then(|| (seconds * 1e3).ceil() as u64);
                 Some(Answer::Busy { retry_after_ms })
             }
@@ -90,7 +92,7 @@
     /// A client's connection is over.
     pub(super) fn no_client(&mut self, id: u64) -> Option<Client> {
         if let Some(gate) = &mut self.gate {
-            gate.ended(id);
+            gate.connection_closed(id);
         }
         self.clients.remove(&id)
     }
--- a/gateway/src/memory/broker.rs
+++ b/gateway/src/memory/broker.rs
@@ -98,7 +98,7 @@
             Err(answer) => answer,
         };
         if let Some(gate) = &mut self.gate {
-            gate.answered(now, client, call.customer, false);
+            gate.command_answered(now, client, call.customer, false);
         }
         Err(answer)
     }
--- a/gateway/src/memory/clients.rs
+++ b/gateway/src/memory/clients.rs
@@ -12,7 +12,7 @@
     pub(super) fn command(&mut self, now: f64, id: u64, command: Command) {
         let takes = self.takes_clients();
         if let Some(gate) = &mut self.gate {
-            gate.whole(now, id);
+            gate.command_started(now, id);
         }
         let Some(client) = self.clients.get_mut(&id) else { return };
         (client.used, client.said, client.half, client.grown) = (now, true, None, None);
@@ -122,7 +122,7 @@
         let (id, command) = (held.client, held.command);
         if let Some(gate) = &mut self.gate {
             let well = matches!(answer, Answer::Value(_) | Answer::Passed);
-            gate.answered(now, id, held.call.customer, well);
+            gate.command_answered(now, id, held.call.customer, well);
         }
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.used = now;
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -11,7 +11,7 @@
 use quillramp::facts::{About, Start};
 use quillramp::ids::{Ids, Slots};
 use quillramp::types::*;
-use quillramp_admission::Gate;
+use quillramp_admission::AdmissionController;
 use quillramp_operator::routes::Table;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -44,7 +44,7 @@
     /// Clients of whom commands have been read that stand further back in the batch, and how many.
     pub(super) speak: BTreeMap<u64, usize>,
     /// Who may connect and ask, where that is limited.
-    pub(super) gate: Option<Gate>,
+    pub(super) gate: Option<AdmissionController>,
     /// What callers' tokens are checked against, where they have to be known.
     pub(super) identity: Option<quillramp_identity::Door>,
     /// Contracts between teams, where operators have set them.
@@ -157,7 +157,7 @@
         events.retain(|e| !matches!(e, Event::Up(conn) if over.contains(conn)));
         for id in events.iter().filter_map(|e| if let Event::Command(id, _) = e { Some(*id) } else { None }) {
             *self.speak.entry(id).or_default() += 1;
-            self.gate.iter_mut().for_each(|gate| gate.reads(id, 1));
+            self.gate.iter_mut().for_each(|gate| gate.commands_read(id, 1));
         }
         self.turned_away = false;
         for event in events.drain(..) {
--- a/gateway/src/memory/room.rs
+++ b/gateway/src/memory/room.rs
@@ -96,7 +96,7 @@
             return true;
         }
         let spared = match &mut self.gate {
-            Some(gate) => gate.spare(now),
+            Some(gate) => gate.evict(now),
             None => self.idle_client(|_| true),
         };
         if let Some(id) = spared {
@@ -109,7 +109,7 @@
     pub(super) fn half(&mut self, now: f64, id: u64) {
         if let Some(client) = self.clients.get_mut(&id).filter(|c| c.half.is_none()) {
             client.half = Some(now);
-            self.gate.iter_mut().for_each(|gate| gate.begins(now, id));
+            self.gate.iter_mut().for_each(|gate| gate.partial_command(now, id));
             self.at(now + HALF, Due::Half(id));
         }
     }
@@ -165,7 +165,7 @@
         self.forget_gone();
         self.promise();
         if let Some(gate) = &mut self.gate {
-            gate.count_unknown(now);
+            gate.refresh_known(now);
         }
         self.at(now + LOOK, Due::Sweep);
     }
--- a/operator/src/admission.rs
+++ b/operator/src/admission.rs
@@ -36,7 +36,7 @@
     for text in s.texts("known").unwrap_or_default() {
         match text.is.parse() {
             Ok(network) => known.push(network),
-            Err(says) => s.fault("known", says),
+            Err(error) => s.fault("known", error.to_string()),
         }
     }
     if reserve > 0 && known.is_empty() && known_for <= 0.0 {
