Identity: Authenticator, keys, claims and rejections a file each

Cause: lib.rs (319 lines) had all of it, with names of our own (Door, opens_to, No); errors of a key were texts that the reader of the operator's file took apart again.

Change: a module a job, KeyError with the part and the problem, Rejection by thiserror with the same texts. Callers in gateway/src/memory (identity, reducer) and operator/ follow by name. Tests: names only.

--- a/gateway/src/memory/identity.rs
+++ b/gateway/src/memory/identity.rs
@@ -2,12 +2,12 @@
 use super::event::Effect;
 use super::reducer::Reducer;
 use crate::wire::resp::{Answer, Call};
-use quillramp_identity::{Door, Trust};
+use quillramp_identity::{Authenticator, Trust};
 
 impl Reducer {
     /// Other keys and revocations from now on, or nobody has to be known. Who is known is looked at again with its next command.
     pub(super) fn identifies(&mut self, trust: Option<Trust>) {
-        if self.identity.as_ref().map(Door::trust) == trust.as_ref() {
+        if self.identity.as_ref().map(Authenticator::trust) == trust.as_ref() {
             return;
         }
         let says = match &trust {
@@ -22,25 +22,27 @@
         self.effects.push(Effect::Log(says));
         match (&mut self.identity, trust) {
             (identity, None) => *identity = None,
-            (Some(door), Some(trust)) => door.trusts(trust),
-            (identity, Some(trust)) => *identity = Some(Door::new(trust)),
+            (Some(authenticator), Some(trust)) => authenticator.set_trust(trust),
+            (identity, Some(trust)) => *identity = Some(Authenticator::new(trust)),
         }
     }
 
     /// A client says who it is. What a token holds is nobody's business, and no line's.
     pub(super) fn authenticated(&mut self, now: f64, id: u64, token: &[u8]) -> Answer {
-        let Some(door) = &mut self.identity else { return Answer::Error("unknown command".into()) };
-        let caller = door.opens_to(now, token);
+        let Some(authenticator) = &mut self.identity else {
+            return Answer::Error("unknown command".into());
+        };
+        let caller = authenticator.authenticate(now, token);
         let Some(client) = self.clients.get_mut(&id) else { return Answer::Okay };
         match caller {
             Ok(caller) => {
                 client.caller = Some(caller);
                 Answer::Okay
             }
-            Err(no) => {
+            Err(rejection) => {
                 client.caller = None;
-                self.effects.push(Effect::Log(format!("client {id}: token not taken: {no}")));
-                Answer::Denied(format!("WRONGPASS {no}"))
+                self.effects.push(Effect::Log(format!("client {id}: token not taken: {rejection}")));
+                Answer::Denied(format!("WRONGPASS {rejection}"))
             }
         }
     }
@@ -53,13 +55,13 @@
         operation: usize,
         call: &Call,
     ) -> Result<Option<String>, Answer> {
-        let Some(door) = &self.identity else { return Ok(None) };
+        let Some(authenticator) = &self.identity else { return Ok(None) };
         let client = self.clients.get(&id);
         let Some(caller) = client.and_then(|c| c.caller.as_ref()) else {
             return Err(Answer::Denied("NOAUTH a token first, by AUTH".into()));
         };
-        if let Err(no) = door.still(now, caller) {
-            return Err(Answer::Denied(format!("NOAUTH {no}")));
+        if let Err(rejection) = authenticator.revalidate(now, caller) {
+            return Err(Answer::Denied(format!("NOAUTH {rejection}")));
         }
         // Somebody has to say for whom it may speak: the token, or a contract.
         let said = caller.customers.is_some() || self.broker.is_some();
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -46,7 +46,7 @@
     /// Who may connect and ask, where that is limited.
     pub(super) gate: Option<AdmissionController>,
     /// What callers' tokens are checked against, where they have to be known.
-    pub(super) identity: Option<quillramp_identity::Door>,
+    pub(super) identity: Option<quillramp_identity::Authenticator>,
     /// Contracts between teams, where operators have set them.
     pub(super) broker: Option<Brokered>,
     /// Which front doors the counter hears of, where operators want to know.
--- a/identity/tests/help/mod.rs
+++ b/identity/tests/help/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 use base64::engine::general_purpose::URL_SAFE_NO_PAD as B64;
 use base64::Engine;
-use quillramp_identity::{Key, Signs};
+use quillramp_identity::{Key, SignatureAlgorithm};
 use ring::rand::SystemRandom;
 use ring::signature::{EcdsaKeyPair, Ed25519KeyPair, KeyPair, ECDSA_P256_SHA256_FIXED_SIGNING};
 use serde_json::{json, Value};
@@ -36,14 +36,14 @@
     }
 
     pub fn key(&self) -> Key {
-        let (signs, x, y) = match &self.pair {
-            Pair::Ed(p) => (Signs::EdDsa, B64.encode(p.public_key()), String::new()),
+        let (algorithm, x, y) = match &self.pair {
+            Pair::Ed(p) => (SignatureAlgorithm::EdDsa, B64.encode(p.public_key()), String::new()),
             Pair::Ec(p) => {
                 let point = p.public_key().as_ref();
-                (Signs::Es256, B64.encode(&point[1..33]), B64.encode(&point[33..65]))
+                (SignatureAlgorithm::Es256, B64.encode(&point[1..33]), B64.encode(&point[33..65]))
             }
         };
-        Key { id: self.id.clone(), signs, x, y, from: 0.0, until: f64::INFINITY }
+        Key { id: self.id.clone(), algorithm, x, y, valid_from: 0.0, valid_until: f64::INFINITY }
     }
 
     pub fn signs(&self, head: Value, claims: &Value) -> String {
--- a/operator/src/identity.rs
+++ b/operator/src/identity.rs
@@ -1,6 +1,6 @@
 //! The section on who callers are.
 use crate::reading::Section;
-use quillramp_identity::{Key, Signs, Trust};
+use quillramp_identity::{Key, SignatureAlgorithm, Trust};
 use std::collections::BTreeSet;
 
 pub fn read(s: Section) -> Option<Trust> {
@@ -33,7 +33,9 @@
         }
         let text = |name: &'static str| k.text(name).map(|t| t.is);
         let (id, x, y) = (text("id"), text("x"), text("y").unwrap_or_default());
-        let signs = k.word("signs", &[("EdDSA", Signs::EdDsa), ("ES256", Signs::Es256)]).map(|w| w.is);
+        let signs = k
+            .word("signs", &[("EdDSA", SignatureAlgorithm::EdDsa), ("ES256", SignatureAlgorithm::Es256)])
+            .map(|w| w.is);
         let from = k.time("from").map_or(0.0, |t| t.is);
         let until = k.time("until").map_or(f64::INFINITY, |t| t.is);
         if until <= from {
@@ -43,15 +45,22 @@
             if keys.iter().any(|other| other.id == id) {
                 k.fault("id", format!("'{id}' stands here twice"));
             }
-            let key = Key { id, signs, x, y, from, until };
-            if let Err(why) = key.check() {
-                let (name, why) = why.split_once(": ").unwrap_or(("x", &why));
-                k.fault(name, why);
+            let key = Key { id, algorithm: signs, x, y, valid_from: from, valid_until: until };
+            if let Err(error) = key.check() {
+                k.fault(error.component.name(), error.problem.to_string());
             }
             keys.push(key);
         }
         k.done();
     }
     s.done();
-    Some(Trust { issuer: issuer?, audience: audience?, keys, revoked, leeway, longest, once })
+    Some(Trust {
+        issuer: issuer?,
+        audience: audience?,
+        keys,
+        revoked,
+        leeway,
+        max_lifetime: longest,
+        single_use: once,
+    })
 }
--- a/operator/src/show.rs
+++ b/operator/src/show.rs
@@ -55,8 +55,8 @@
                 t.audience,
                 t.keys.len(),
                 t.revoked.len(),
-                t.longest,
-                if t.once { ", each used once" } else { "" }
+                t.max_lifetime,
+                if t.single_use { ", each used once" } else { "" }
             );
         }
         None => text += "callers: need not be known\n",
