Broker: requests, verdicts, contracts, fair sharing and budgets a file each

Change: a module a job; Request, Response, Terms, Available, OutstandingCall in place of tuples; Conflict by thiserror with the same texts. gateway/src/memory/broker.rs and operator/ follow; the figures that operators read keep their names.

--- a/broker/examples/cost.rs
+++ b/broker/examples/cost.rs
@@ -1,6 +1,6 @@
 //! What one question to the broker costs, by the number of contracts, with a hundred teams that ask and a flood of one. Prints a table.
 use quillramp_broker::contract::{Contract, Contracts};
-use quillramp_broker::{Broker, May};
+use quillramp_broker::{Broker, Request, Verdict};
 use std::time::Instant;
 
 const ASKS: usize = 1_000_000;
@@ -11,13 +11,13 @@
         let one = |team: usize| Contract {
             team: format!("team-{team}"),
             version: 1,
-            from: 0.0,
-            until: f64::INFINITY,
+            valid_from: 0.0,
+            valid_until: f64::INFINITY,
             operations: vec!["look*".into(), "order".into()],
             customers: vec![team as u64],
             rate: 10.0,
             burst: 20.0,
-            each: vec![],
+            operation_limits: vec![],
             weight: 1.0,
             budget: None,
         };
@@ -32,9 +32,10 @@
             let now = i as f64 * 1e-4;
             // Every other question is the flood's.
             let customer = if i % 2 == 0 { 0 } else { i as u64 * 7919 % asking };
-            if let Some(team) = broker.speaks_for(now, customer) {
-                taken +=
-                    usize::from(matches!(broker.asks(now, team, ("lookup", customer), 1.0).0, May::Take(_)));
+            if let Some(team) = broker.team_of_customer(now, customer) {
+                let request = Request { operation: "lookup", customer, units: 1.0 };
+                let verdict = broker.request(now, team, request).verdict;
+                taken += usize::from(matches!(verdict, Verdict::Grant(_)));
             }
         }
         let each = from.elapsed().as_secs_f64() / ASKS as f64 * 1e9;
--- /dev/null
+++ b/broker/src/broker.rs
@@ -0,0 +1,262 @@
+//! The broker of one gateway instance.
+use crate::budget::{BudgetAccount, BudgetVerdict, CounterCall};
+use crate::contract::{Contract, Contracts};
+use crate::fair_share::{Available, FairShareLimiter, NoUnits, Source, Terms};
+use crate::{Grant, Reason, Request, Response, TeamId, TeamUsage, Usage, Verdict};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// Decides on requests by the teams' contracts.
+pub struct Broker {
+    contracts: Arc<Contracts>,
+    /// Number of gateway instances that share the contracts.
+    instances: usize,
+    limiter: FairShareLimiter,
+    teams: Vec<Team>,
+    by_name: HashMap<String, TeamId>,
+    /// When the next contract begins or ends.
+    next_change: f64,
+}
+
+struct Team {
+    name: String,
+    /// The version of its contract that is in force.
+    version: Option<u32>,
+    /// Limits on single operations, by their place in the contract.
+    operation_limiter: FairShareLimiter,
+    budget: BudgetAccount,
+    usage: Usage,
+}
+
+impl Team {
+    fn new(name: &str) -> Team {
+        Team {
+            name: name.to_owned(),
+            version: None,
+            operation_limiter: FairShareLimiter::new(0.0, 0.0),
+            budget: BudgetAccount::default(),
+            usage: Usage::default(),
+        }
+    }
+}
+
+impl Broker {
+    /// For one of `instances`; `capacity` in units a second of all together.
+    pub fn new(now: f64, contracts: Contracts, instances: usize, capacity: f64) -> Broker {
+        let instances = instances.max(1);
+        let mut broker = Broker {
+            contracts: Arc::default(),
+            instances,
+            limiter: FairShareLimiter::new(now, capacity / instances as f64),
+            teams: vec![],
+            by_name: HashMap::new(),
+            next_change: 0.0,
+        };
+        broker.set_contracts(now, contracts, capacity);
+        broker
+    }
+
+    /// Replaces the contracts as a whole. Grants are settled under the version they were made under; what a team has spent of a period
+    /// stays spent, also where it had no contract meanwhile.
+    pub fn set_contracts(&mut self, now: f64, contracts: Contracts, capacity: f64) {
+        self.contracts = Arc::new(contracts);
+        self.limiter.set_capacity(now, capacity / self.instances as f64);
+        let contracts = self.contracts.clone();
+        let mut names: Vec<&str> = contracts.teams().collect();
+        names.sort_unstable();
+        for name in names {
+            self.team_id(name);
+        }
+        self.apply_versions(now);
+    }
+
+    /// A team's id; a new name gets one.
+    pub fn team_id(&mut self, name: &str) -> TeamId {
+        if let Some(team) = self.by_name.get(name) {
+            return *team;
+        }
+        let id = self.teams.len();
+        self.teams.push(Team::new(name));
+        self.by_name.insert(name.to_owned(), id);
+        id
+    }
+
+    /// The team that speaks for a customer, where a contract names the customer.
+    pub fn team_of_customer(&self, now: f64, customer: u64) -> Option<TeamId> {
+        let name = self.contracts.team_of_customer(customer, now)?;
+        self.by_name.get(name).copied()
+    }
+
+    /// A team's name.
+    pub fn team_name(&self, team: TeamId) -> Option<&str> {
+        self.teams.get(team).map(|team| team.name.as_str())
+    }
+
+    /// Decides on a request.
+    pub fn request(&mut self, now: f64, id: TeamId, request: Request) -> Response {
+        if now >= self.next_change {
+            self.apply_versions(now);
+        }
+        let contracts = self.contracts.clone();
+        let Some(team) = self.teams.get_mut(id) else { return Response::deny(Reason::NoContract) };
+        let response = match contract_for(&contracts, now, &team.name, request) {
+            Ok(contract) => self.request_units(now, id, contract, request),
+            Err(reason) => Response::deny(reason),
+        };
+        let usage = &mut self.teams[id].usage;
+        match &response.verdict {
+            Verdict::Grant(grant) => {
+                usage.granted += 1;
+                usage.units += request.units;
+                if grant.source == Source::Borrowed {
+                    usage.borrowed += request.units;
+                }
+            }
+            Verdict::RetryAfter { .. } => usage.deferred += 1,
+            Verdict::Deny(_) => usage.denied += 1,
+        }
+        response
+    }
+
+    /// A grant that was not used.
+    pub fn refund(&mut self, grant: &Grant) {
+        self.limiter.refund(grant.team, grant.units, grant.source);
+        let team = &mut self.teams[grant.team];
+        if let Some(limit) = grant.operation_limit.filter(|_| team.version == Some(grant.version)) {
+            team.operation_limiter.refund(limit, grant.units, Source::Own);
+        }
+        team.budget.refund(grant.units);
+        team.usage.granted -= 1;
+        team.usage.units -= grant.units;
+        if grant.source == Source::Borrowed {
+            team.usage.borrowed -= grant.units;
+        }
+    }
+
+    /// The units that a grant's request took in the end.
+    pub fn settle(&mut self, now: f64, grant: &Grant, units: f64) {
+        let difference = units - grant.units;
+        if difference != 0.0 {
+            self.limiter.adjust(now, grant.team, difference);
+            let team = &mut self.teams[grant.team];
+            team.budget.adjust(difference);
+            team.usage.units += difference;
+        }
+    }
+
+    /// A call on a team's budget was answered with a total, or not with one; another one may be due.
+    pub fn call_answered(
+        &mut self,
+        now: f64,
+        team: TeamId,
+        period: u64,
+        total: Option<f64>,
+    ) -> Option<CounterCall> {
+        let contracts = self.contracts.clone();
+        let team = self.teams.get_mut(team)?;
+        let budget = contracts.in_force(&team.name, now).and_then(|contract| contract.budget)?;
+        team.budget.call_answered(now, &budget, period, total)
+    }
+
+    /// The usage of each team.
+    pub fn usage(&self) -> impl Iterator<Item = TeamUsage<'_>> {
+        self.teams.iter().map(|team| TeamUsage {
+            team: &team.name,
+            version: team.version,
+            usage: &team.usage,
+        })
+    }
+
+    /// What a team could have now of its contract's rate.
+    pub fn available(&self, team: TeamId) -> Available {
+        self.limiter.available(team)
+    }
+
+    /// Puts the terms of the versions in force into effect.
+    fn apply_versions(&mut self, now: f64) {
+        let contracts = self.contracts.clone();
+        self.next_change = contracts.next_change(now);
+        let share = 1.0 / self.instances as f64;
+        for (id, team) in self.teams.iter_mut().enumerate() {
+            let contract = contracts.in_force(&team.name, now);
+            self.limiter.set_terms(now, id, contract_terms(contract, share));
+            team.version = contract.map(|contract| contract.version);
+            let limits = contract.map_or(&[][..], |contract| &contract.operation_limits);
+            for (place, limit) in limits.iter().enumerate() {
+                let terms = Terms { rate: limit.rate * share, burst: limit.burst * share, weight: 1.0 };
+                team.operation_limiter.set_terms(now, place, terms);
+            }
+        }
+    }
+
+    /// The operation's own limit, then the contract's rate, then its budget; what an earlier one gave is refunded where a later one has
+    /// none.
+    fn request_units(&mut self, now: f64, id: TeamId, contract: &Contract, request: Request) -> Response {
+        let units = request.units;
+        let operation_limit = contract.operation_limit(request.operation);
+        let team = &mut self.teams[id];
+        if let Some(limit) = operation_limit {
+            if let Err(error) = team.operation_limiter.try_take(now, limit, units) {
+                return retry_after(error, Reason::OperationRate);
+            }
+        }
+        let refund_operation = |team: &mut Team| {
+            if let Some(limit) = operation_limit {
+                team.operation_limiter.refund(limit, units, Source::Own);
+            }
+        };
+        let source = match self.limiter.try_take(now, id, units) {
+            Ok(source) => source,
+            Err(error) => {
+                refund_operation(team);
+                return retry_after(error, Reason::Rate);
+            }
+        };
+        let grant = Grant { team: id, version: contract.version, units, source, operation_limit };
+        let Some(budget) = &contract.budget else {
+            return Response { verdict: Verdict::Grant(grant), counter_call: None };
+        };
+        let response = team.budget.request(now, budget, self.instances, units);
+        let verdict = match response.verdict {
+            BudgetVerdict::Granted => Verdict::Grant(grant),
+            BudgetVerdict::Exhausted { retry_after } | BudgetVerdict::Pending { retry_after } => {
+                refund_operation(team);
+                self.limiter.refund(id, units, source);
+                Verdict::RetryAfter { seconds: retry_after, reason: Reason::Budget }
+            }
+        };
+        Response { verdict, counter_call: response.counter_call }
+    }
+}
+
+/// The contract in force, if it allows what is asked for.
+fn contract_for<'a>(
+    contracts: &'a Contracts,
+    now: f64,
+    team: &str,
+    request: Request,
+) -> Result<&'a Contract, Reason> {
+    let contract = contracts.in_force(team, now).ok_or(Reason::NoContract)?;
+    if !contract.allows(request.operation) {
+        return Err(Reason::Operation);
+    }
+    if !contracts.covers(contract, request.customer) {
+        return Err(Reason::Customer);
+    }
+    Ok(contract)
+}
+
+/// An instance's share of a contract's terms; nothing without a contract.
+fn contract_terms(contract: Option<&Contract>, share: f64) -> Terms {
+    match contract {
+        Some(contract) => {
+            Terms { rate: contract.rate * share, burst: contract.burst * share, weight: contract.weight }
+        }
+        None => Terms { rate: 0.0, burst: 0.0, weight: 1.0 },
+    }
+}
+
+fn retry_after(error: NoUnits, reason: Reason) -> Response {
+    let verdict = Verdict::RetryAfter { seconds: error.retry_after, reason };
+    Response { verdict, counter_call: None }
+}
--- a/broker/tests/broker.rs
+++ b/broker/tests/broker.rs
@@ -1,22 +1,22 @@
 //! Contracts, lending and budgets, on a clock of the tests' own.
 use proptest::prelude::*;
-use quillramp_broker::budget::{Account, Says};
-use quillramp_broker::contract::{Budget, Contract, Contracts, Expected, Wrong};
-use quillramp_broker::lending::{Lender, Source, HELD};
-use quillramp_broker::{Broker, May, Why};
+use quillramp_broker::budget::{BudgetAccount, BudgetVerdict};
+use quillramp_broker::contract::{Budget, Conflict, Contract, Contracts, OperationLimit};
+use quillramp_broker::fair_share::{FairShareLimiter, Source, Terms, MAX_BORROWED_SECONDS};
+use quillramp_broker::{Broker, Reason, Request, Verdict};
 use std::collections::BTreeMap;
 
 fn contract(team: &str, rate: f64, burst: f64) -> Contract {
     Contract {
         team: team.into(),
         version: 1,
-        from: 0.0,
-        until: f64::INFINITY,
+        valid_from: 0.0,
+        valid_until: f64::INFINITY,
         operations: vec![],
         customers: vec![],
         rate,
         burst,
-        each: vec![],
+        operation_limits: vec![],
         weight: 1.0,
         budget: None,
     }
@@ -26,8 +26,12 @@
     Broker::new(1000.0, Contracts::new(all, capacity).expect("they can be"), 1, capacity)
 }
 
+fn ask(b: &mut Broker, now: f64, team: usize, (operation, customer): (&str, u64), units: f64) -> Verdict {
+    b.request(now, team, Request { operation, customer, units }).verdict
+}
+
 fn took(b: &mut Broker, now: f64, team: usize, units: f64) -> bool {
-    matches!(b.asks(now, team, ("look", 1), units).0, May::Take(_))
+    matches!(ask(b, now, team, ("look", 1), units), Verdict::Grant(_))
 }
 
 /// Twenty teams at nine tenths of their contracts; one of them then floods.
@@ -60,20 +64,20 @@
 
 #[test]
 fn unused_room_is_lent_by_weight_and_max_min() {
-    let mut l = Lender::new(0.0, 100.0);
+    let mut l = FairShareLimiter::new(0.0, 100.0);
     for (team, weight) in [(0, 1.0), (1, 3.0), (2, 1.0), (3, 1.0)] {
-        l.terms(0.0, team, (10.0, 1.0, weight));
+        l.set_terms(0.0, team, Terms { rate: 10.0, burst: 1.0, weight });
     }
     let mut got = [0.0f64; 4];
     for step in 1..=20_000 {
         let now = 0.001 * f64::from(step);
         // Two ask without end; the third for a little more than its own; the fourth for nothing.
         for team in [0, 1] {
-            while l.takes(now, team, 0.1).is_ok() {
+            while l.try_take(now, team, 0.1).is_ok() {
                 got[team] += 0.1;
             }
         }
-        if step % 8 == 0 && l.takes(now, 2, 0.1).is_ok() {
+        if step % 8 == 0 && l.try_take(now, 2, 0.1).is_ok() {
             got[2] += 0.1;
         }
     }
@@ -87,12 +91,12 @@
 /// What was lent is back at once: its owner finds its whole store, and beside it goes what the rule on held room says, no more.
 #[test]
 fn an_owner_that_comes_back_finds_its_own() {
-    let mut l = Lender::new(0.0, 20.0);
-    l.terms(0.0, 0, (10.0, 20.0, 1.0));
-    l.terms(0.0, 1, (10.0, 20.0, 1.0));
+    let mut l = FairShareLimiter::new(0.0, 20.0);
+    l.set_terms(0.0, 0, Terms { rate: 10.0, burst: 20.0, weight: 1.0 });
+    l.set_terms(0.0, 1, Terms { rate: 10.0, burst: 20.0, weight: 1.0 });
     let mut drain = |now: f64, team| {
         let mut n = 0.0;
-        while l.takes(now, team, 0.5).is_ok() {
+        while l.try_take(now, team, 0.5).is_ok() {
             n += 0.5;
         }
         n
@@ -101,7 +105,7 @@
     let back = drain(10.01, 0);
     assert!((20.0..=20.5).contains(&back), "{back}: its burst, at once");
     let beside: f64 = (0..100).map(|i| drain(10.02 + 0.01 * f64::from(i), 1)).sum();
-    assert!(beside <= 10.0 + 20.0 * HELD + 0.5, "{beside} in the second after");
+    assert!(beside <= 10.0 + 20.0 * MAX_BORROWED_SECONDS + 0.5, "{beside} in the second after");
 }
 
 #[test]
@@ -110,16 +114,16 @@
     radiology.operations = vec!["look*".into()];
     radiology.customers = vec![7, 8];
     let mut b = broker(vec![radiology, contract("surgery", 5.0, 5.0)], 20.0);
-    let (r, s) = (b.team("radiology"), b.team("surgery"));
-    assert!(matches!(b.asks(1000.0, r, ("lookup", 7), 1.0).0, May::Take(_)));
-    assert_eq!(b.asks(1000.0, r, ("order", 7), 1.0).0, May::Never(Why::Operation));
-    assert_eq!(b.asks(1000.0, r, ("lookup", 9), 1.0).0, May::Never(Why::Customer));
-    assert!(matches!(b.asks(1000.0, s, ("order", 9), 1.0).0, May::Take(_)));
-    assert_eq!((b.speaks_for(1000.0, 8), b.speaks_for(1000.0, 9)), (Some(r), None));
-    let nobody = b.team("nobody");
-    assert_eq!(b.asks(1000.0, nobody, ("look", 7), 1.0).0, May::Never(Why::NoContract));
+    let (r, s) = (b.team_id("radiology"), b.team_id("surgery"));
+    assert!(matches!(ask(&mut b, 1000.0, r, ("lookup", 7), 1.0), Verdict::Grant(_)));
+    assert_eq!(ask(&mut b, 1000.0, r, ("order", 7), 1.0), Verdict::Deny(Reason::Operation));
+    assert_eq!(ask(&mut b, 1000.0, r, ("lookup", 9), 1.0), Verdict::Deny(Reason::Customer));
+    assert!(matches!(ask(&mut b, 1000.0, s, ("order", 9), 1.0), Verdict::Grant(_)));
+    assert_eq!((b.team_of_customer(1000.0, 8), b.team_of_customer(1000.0, 9)), (Some(r), None));
+    let nobody = b.team_id("nobody");
+    assert_eq!(ask(&mut b, 1000.0, nobody, ("look", 7), 1.0), Verdict::Deny(Reason::NoContract));
     let usage: BTreeMap<_, _> =
-        b.usage().map(|(name, v, u)| (name.to_owned(), (v, u.taken, u.never))).collect();
+        b.usage().map(|u| (u.team.to_owned(), (u.version, u.usage.granted, u.usage.denied))).collect();
     assert_eq!(usage["radiology"], (Some(1), 1, 2));
     assert_eq!(usage["nobody"], (None, 0, 1));
 }
@@ -127,16 +131,21 @@
 #[test]
 fn one_operation_has_its_own_limit_and_costs_nothing_where_it_is_refused() {
     let mut c = contract("t", 100.0, 100.0);
-    c.each = vec![Expected { operation: "order".into(), rate: 1.0, burst: 2.0 }];
+    c.operation_limits = vec![OperationLimit { operation: "order".into(), rate: 1.0, burst: 2.0 }];
     let mut b = broker(vec![c], 100.0);
-    let order = |b: &mut Broker, now: f64| b.asks(now, 0, ("order", 1), 1.0).0;
-    assert!((0..2).all(|_| matches!(order(&mut b, 1000.0), May::Take(_))));
-    assert!(matches!(order(&mut b, 1000.0), May::Later(s, Why::Expected) if (s - 1.0).abs() < 1e-6));
-    assert_eq!(b.at_hand(0).0, 98.0, "what was refused is not spent");
+    let order = |b: &mut Broker, now: f64| ask(b, now, 0, ("order", 1), 1.0);
+    assert!((0..2).all(|_| matches!(order(&mut b, 1000.0), Verdict::Grant(_))));
+    assert!(
+        matches!(order(&mut b, 1000.0), Verdict::RetryAfter { seconds, reason: Reason::OperationRate } if (seconds - 1.0).abs() < 1e-6)
+    );
+    assert_eq!(b.available(0).own, 98.0, "what was refused is not spent");
     // And what the rate refuses is not taken from the operation's.
     while took(&mut b, 1000.0, 0, 1.0) {}
-    assert!(matches!(order(&mut b, 1003.0), May::Take(_)));
-    assert!(matches!(b.asks(1003.0, 0, ("look", 1), 500.0).0, May::Later(..) | May::Take(_)));
+    assert!(matches!(order(&mut b, 1003.0), Verdict::Grant(_)));
+    assert!(matches!(
+        ask(&mut b, 1003.0, 0, ("look", 1), 500.0),
+        Verdict::RetryAfter { .. } | Verdict::Grant(_)
+    ));
 }
 
 /// Versions: the highest in force holds; what was taken is settled under its own; a team that was gone and is back has spent what it had.
@@ -147,97 +156,103 @@
     let mut b = broker(vec![one.clone()], 2000.0);
     // A counter that adds at once.
     let mut counts: BTreeMap<u64, f64> = BTreeMap::new();
-    let mut ask = |b: &mut Broker, now: f64, units: f64| loop {
-        let (may, call) = b.asks(now, 0, ("look", 1), units);
-        let mut next = call;
+    let mut spend = |b: &mut Broker, now: f64, units: f64| loop {
+        let request = Request { operation: "look", customer: 1, units };
+        let response = b.request(now, 0, request);
+        let mut next = response.counter_call;
         let called = next.is_some();
         while let Some(call) = next {
             let total = counts.entry(call.period).or_default();
-            *total += call.add;
-            next = b.told(now, 0, call.period, Some(*total));
+            *total += call.amount;
+            next = b.call_answered(now, 0, call.period, Some(*total));
         }
-        if !(called && matches!(may, May::Later(_, Why::Budget))) {
-            return may;
+        if !(called && matches!(response.verdict, Verdict::RetryAfter { reason: Reason::Budget, .. })) {
+            return response.verdict;
         }
     };
-    let May::Take(grant) = ask(&mut b, 1000.0, 30.0) else { panic!("a full budget") };
+    let Verdict::Grant(grant) = spend(&mut b, 1000.0, 30.0) else { panic!("a full budget") };
     assert_eq!(grant.version, 1);
     // Cut below what is spent: nothing more in this period.
     let two = Contract { version: 2, budget: budget(20.0), ..one.clone() };
-    b.changes(
+    b.set_contracts(
         1001.0,
         Contracts::new(vec![one.clone(), two], 2000.0).expect("two versions may overlap"),
         2000.0,
     );
-    assert!(matches!(ask(&mut b, 1001.0, 30.0), May::Later(s, Why::Budget) if s > 2000.0));
+    assert!(
+        matches!(spend(&mut b, 1001.0, 30.0), Verdict::RetryAfter { seconds, reason: Reason::Budget } if seconds > 2000.0)
+    );
     // Gone: never. What is under way ends in peace.
-    b.changes(1002.0, Contracts::default(), 2000.0);
-    assert_eq!(ask(&mut b, 1002.0, 1.0), May::Never(Why::NoContract));
-    b.settles(1002.0, &grant, 25.0);
+    b.set_contracts(1002.0, Contracts::default(), 2000.0);
+    assert_eq!(spend(&mut b, 1002.0, 1.0), Verdict::Deny(Reason::NoContract));
+    b.settle(1002.0, &grant, 25.0);
     // Back, with room again: what it spent is spent.
     let three = Contract { version: 3, budget: budget(60.0), ..one };
-    b.changes(1003.0, Contracts::new(vec![three], 2000.0).expect("one"), 2000.0);
+    b.set_contracts(1003.0, Contracts::new(vec![three], 2000.0).expect("one"), 2000.0);
     let mut more = 0.0;
-    while matches!(ask(&mut b, 1003.0, 5.0), May::Take(_)) {
+    while matches!(spend(&mut b, 1003.0, 5.0), Verdict::Grant(_)) {
         more += 5.0;
     }
     assert!((20.0..=35.0).contains(&more), "{more}");
-    assert!(matches!(ask(&mut b, 4000.0, 5.0), May::Take(_)), "another period");
+    assert!(matches!(spend(&mut b, 4000.0, 5.0), Verdict::Grant(_)), "another period");
 }
 
 #[test]
 fn a_version_begins_and_ends_by_itself() {
-    let now = Contract { until: 1010.0, ..contract("t", 10.0, 10.0) };
+    let now = Contract { valid_until: 1010.0, ..contract("t", 10.0, 10.0) };
     let then = Contract {
         version: 2,
-        from: 1005.0,
-        until: 1020.0,
+        valid_from: 1005.0,
+        valid_until: 1020.0,
         operations: vec!["order".into()],
         ..contract("t", 10.0, 10.0)
     };
     let mut b = broker(vec![now, then], 10.0);
     assert!(took(&mut b, 1004.9, 0, 1.0));
     assert!(!took(&mut b, 1005.0, 0, 1.0), "the higher version has no look");
-    assert!(matches!(b.asks(1019.0, 0, ("order", 1), 1.0).0, May::Take(_)));
-    assert_eq!(b.asks(1020.0, 0, ("order", 1), 1.0).0, May::Never(Why::NoContract));
+    assert!(matches!(ask(&mut b, 1019.0, 0, ("order", 1), 1.0), Verdict::Grant(_)));
+    assert_eq!(ask(&mut b, 1020.0, 0, ("order", 1), 1.0), Verdict::Deny(Reason::NoContract));
 }
 
 #[test]
 fn contracts_that_cannot_be_say_why() {
     let of = |team: &str, customers: Vec<u64>| Contract { customers, ..contract(team, 60.0, 1.0) };
     let wrong = |all: Vec<Contract>| Contracts::new(all, 100.0).expect_err("wrong");
-    assert_eq!(wrong(vec![contract("a", 1.0, 1.0), contract("a", 2.0, 1.0)]), vec![Wrong::Twice(0, 1)]);
+    assert_eq!(
+        wrong(vec![contract("a", 1.0, 1.0), contract("a", 2.0, 1.0)]),
+        vec![Conflict::DuplicateVersion { first: 0, second: 1 }]
+    );
     let shared = wrong(vec![of("a", vec![1, 2]), Contract { rate: 1.0, ..of("b", vec![2]) }]);
-    assert_eq!(shared, vec![Wrong::Shared { customer: 2, first: 0, second: 1 }]);
+    assert_eq!(shared, vec![Conflict::SharedCustomer { customer: 2, first: 0, second: 1 }]);
     assert!(
-        matches!(wrong(vec![of("a", vec![]), of("b", vec![])])[..], [Wrong::Oversold { promised, .. }] if promised == 120.0)
+        matches!(wrong(vec![of("a", vec![]), of("b", vec![])])[..], [Conflict::Oversold { promised, .. }] if promised == 120.0)
     );
     // One after the other is no conflict.
-    let first = Contract { until: 50.0, ..of("a", vec![1]) };
-    let second = Contract { from: 50.0, ..of("b", vec![1]) };
+    let first = Contract { valid_until: 50.0, ..of("a", vec![1]) };
+    let second = Contract { valid_from: 50.0, ..of("b", vec![1]) };
     let both = Contracts::new(vec![first, second], 100.0).expect("they can be");
-    assert_eq!((both.speaks_for(1, 49.0), both.speaks_for(1, 51.0)), (Some("a"), Some("b")));
+    assert_eq!((both.team_of_customer(1, 49.0), both.team_of_customer(1, 51.0)), (Some("a"), Some("b")));
 }
 
 /// Front doors with one budget on one count, which may be silent to some.
 fn spend(doors: usize, units: f64, silent: impl Fn(usize, f64) -> bool) -> f64 {
     let budget = Budget { units, period: 1000.0 };
-    let (mut accounts, mut total) = (vec![Account::default(); doors], 0.0);
+    let (mut accounts, mut total) = (vec![BudgetAccount::default(); doors], 0.0);
     for step in 0..400 {
         let now = 1000.0 + 0.05 * f64::from(step);
         for (d, account) in accounts.iter_mut().enumerate() {
             for _ in 0..8 {
-                let (says, call) = account.takes(now, &budget, doors, 1.0);
-                let mut next = call;
+                let response = account.request(now, &budget, doors, 1.0);
+                let mut next = response.counter_call;
                 while let Some(call) = next {
                     if silent(d, now) {
-                        account.told(now, &budget, call.period, None);
+                        account.call_answered(now, &budget, call.period, None);
                         break;
                     }
-                    total += call.add;
-                    next = account.told(now, &budget, call.period, Some(total));
+                    total += call.amount;
+                    next = account.call_answered(now, &budget, call.period, Some(total));
                 }
-                if matches!(says, Says::Spent(_)) {
+                if matches!(response.verdict, BudgetVerdict::Exhausted { .. }) {
                     break;
                 }
             }
@@ -268,9 +283,10 @@
         asks in proptest::collection::vec((0usize..8, 0.1f64..6.0, 0.0f64..0.2), 1..400),
     ) {
         let capacity = teams.iter().map(|t| t.0).sum::<f64>() + spare;
-        let mut l = Lender::new(0.0, capacity);
+        let mut l = FairShareLimiter::new(0.0, capacity);
         for (i, terms) in teams.iter().enumerate() {
-            l.terms(0.0, i, *terms);
+            let (rate, burst, weight) = *terms;
+            l.set_terms(0.0, i, Terms { rate, burst, weight });
         }
         // A plain store beside, of what a team that kept to its contract would have.
         let mut own: Vec<(f64, f64)> = teams.iter().map(|t| (t.1, 0.0)).collect();
@@ -283,7 +299,7 @@
             *level = (*level + rate * (now - *at)).min(burst);
             *at = now;
             let within = *level - 2.0 * rate * 0.001 >= units && units <= burst;
-            let came = l.takes(now, team, units);
+            let came = l.try_take(now, team, units);
             prop_assert!(!within || came.is_ok(), "{level} and {units} refused");
             if came.is_ok() {
                 all += units;
@@ -291,7 +307,7 @@
                     *level -= units;
                 }
             }
-            let most = capacity * now + teams.iter().map(|t| t.1).sum::<f64>() + capacity * HELD + 6.0;
+            let most = capacity * now + teams.iter().map(|t| t.1).sum::<f64>() + capacity * MAX_BORROWED_SECONDS + 6.0;
             prop_assert!(all <= most, "{} of {}", all, most);
         }
     }
--- a/gateway/src/memory/broker.rs
+++ b/gateway/src/memory/broker.rs
@@ -4,8 +4,7 @@
 use crate::wire::resp::{Answer, Call};
 use quillramp::types::*;
 use quillramp_broker::budget;
-use quillramp_broker::lending::Team;
-use quillramp_broker::{Broker, Grant, May, Why};
+use quillramp_broker::{Broker, Grant, Reason, Request, TeamId, TeamUsage, Verdict};
 use quillramp_operator::broker::Terms;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -17,7 +16,7 @@
     broker: Broker,
     terms: Terms,
     /// The customer's index that stands for a team's budget, with the team; and periods by the series that their counts have.
-    counts: BTreeMap<Customer, Team>,
+    counts: BTreeMap<Customer, TeamId>,
     periods: BTreeMap<u32, u64>,
 }
 
@@ -39,6 +38,11 @@
     NAMES | (hash & (NAMES - 1))
 }
 
+/// What a client hears whose team may not have what it asks for.
+fn denied(reason: Reason) -> Answer {
+    Answer::Error(format!("contract: {}", reason.message()))
+}
+
 impl Brokered {
     /// Whether this count is a budget's.
     pub fn calls(&self, name: CountName) -> bool {
@@ -49,8 +53,8 @@
     pub fn told(&mut self, now: f64, name: CountName, result: Counted) -> Option<CounterCall> {
         let (team, period) = (*self.counts.get(&name.customer)?, *self.periods.get(&name.series)?);
         let total = if let Counted::Total(total) = result { Some(total) } else { None };
-        let call = self.broker.told(now, team, period, total)?;
-        Some(CounterCall { name, add: call.add, lives: call.lives })
+        let call = self.broker.call_answered(now, team, period, total)?;
+        Some(CounterCall { name, add: call.amount, lives: call.lifetime })
     }
 }
 
@@ -72,7 +76,7 @@
         match (&mut self.broker, terms) {
             (broker, None) => *broker = None,
             (Some(b), Some(terms)) => {
-                b.broker.changes(now, terms.contracts.clone(), terms.capacity);
+                b.broker.set_contracts(now, terms.contracts.clone(), terms.capacity);
                 b.terms = terms;
             }
             (broker, Some(terms)) => {
@@ -113,31 +117,33 @@
     ) -> Result<Option<Grant>, Answer> {
         let Some(b) = &mut self.broker else { return Ok(None) };
         let team = match speaks {
-            Some(name) => Some(b.broker.team(&name)),
-            None => b.broker.speaks_for(now, call.customer),
+            Some(name) => Some(b.broker.team_id(&name)),
+            None => b.broker.team_of_customer(now, call.customer),
         };
         let operation = &self.about.operations[ask.operation].name;
-        let (may, due) = match team {
-            Some(team) => b.broker.asks(now, team, (operation, call.customer), ask.units),
+        let team = match team {
+            Some(team) => team,
             None if b.terms.strangers => return Ok(None),
-            None => (May::Never(Why::NoContract), None),
+            None => return Err(denied(Reason::NoContract)),
         };
-        if let (Some(team), Some(due)) = (team, due) {
+        let request = Request { operation, customer: call.customer, units: ask.units };
+        let response = b.broker.request(now, team, request);
+        if let Some(due) = response.counter_call {
             self.calls_budget(now, team, due);
         }
-        match may {
-            May::Take(grant) => Ok(Some(grant)),
-            May::Later(seconds, _) => {
+        match response.verdict {
+            Verdict::Grant(grant) => Ok(Some(grant)),
+            Verdict::RetryAfter { seconds, .. } => {
                 let retry_after_ms = self.about.advises.then(|| (seconds.min(3600.0) * 1e3).ceil() as u64);
                 Err(Answer::Busy { retry_after_ms })
             }
-            May::Never(why) => Err(Answer::Error(format!("contract: {}", why.code()))),
+            Verdict::Deny(reason) => Err(denied(reason)),
         }
     }
 
-    fn calls_budget(&mut self, now: f64, team: Team, due: budget::Call) {
+    fn calls_budget(&mut self, now: f64, team: TeamId, due: budget::CounterCall) {
         let Some(b) = &mut self.broker else { return };
-        let Some(name) = b.broker.name(team).map(number) else { return };
+        let Some(name) = b.broker.team_name(team).map(number) else { return };
         let customer = self.customers.index(&name);
         b.counts.insert(customer, team);
         let series = due.period as u32;
@@ -146,14 +152,14 @@
             b.periods.pop_first();
         }
         let name = CountName { customer, series };
-        self.count(now, CounterCall { name, add: due.add, lives: due.lives });
+        self.count(now, CounterCall { name, add: due.amount, lives: due.lifetime });
     }
 
     /// What an invocation really took.
     pub(super) fn billed(&mut self, now: f64, inv: Inv, units: f64) {
         let Some(b) = &mut self.broker else { return };
         if let Some(grant) = self.held[inv].as_mut().and_then(|h| h.grant.as_mut()) {
-            b.broker.settles(now, grant, units);
+            b.broker.settle(now, grant, units);
             grant.units = units;
         }
     }
@@ -162,7 +168,7 @@
     pub(super) fn unused(&mut self, inv: Inv) {
         let Some(held) = self.held[inv].as_mut().filter(|h| h.deliveries.is_empty()) else { return };
         if let (Some(b), Some(grant)) = (&mut self.broker, held.grant.take()) {
-            b.broker.gives_back(&grant);
+            b.broker.refund(&grant);
         }
     }
 
@@ -172,9 +178,16 @@
         let shown: BTreeMap<&str, Shown> = b
             .broker
             .usage()
-            .map(|(name, version, u)| {
-                let (taken, units, lent, later, never) = (u.taken, u.units, u.lent, u.later, u.never);
-                (name, Shown { version, taken, units, lent, later, never })
+            .map(|TeamUsage { team, version, usage }| {
+                let shown = Shown {
+                    version,
+                    taken: usage.granted,
+                    units: usage.units,
+                    lent: usage.borrowed,
+                    later: usage.deferred,
+                    never: usage.denied,
+                };
+                (team, shown)
             })
             .collect();
         serde_json::to_string(&shown).expect("plain figures")
--- a/operator/src/broker.rs
+++ b/operator/src/broker.rs
@@ -1,8 +1,8 @@
 //! The sections on the broker: its capacity, and the contracts.
 use crate::reading::{Reading, Section};
 use crate::routes::Platform;
-use quillramp_broker::budget::LIVES;
-use quillramp_broker::contract::{takes, Budget, Contract, Contracts, Expected, Wrong};
+use quillramp_broker::budget::COUNT_LIFETIME_PERIODS;
+use quillramp_broker::contract::{matches_any, Budget, Conflict, Contract, Contracts, OperationLimit};
 use std::collections::BTreeSet;
 
 /// What the platform's counter lets a name live, seconds.
@@ -53,8 +53,10 @@
         Err(wrong) => {
             for w in wrong {
                 let line = match w {
-                    Wrong::Twice(_, at) | Wrong::Shared { second: at, .. } => lines[at],
-                    Wrong::Oversold { .. } => lines.first().copied().unwrap_or(1),
+                    Conflict::DuplicateVersion { second, .. } | Conflict::SharedCustomer { second, .. } => {
+                        lines[second]
+                    }
+                    Conflict::Oversold { .. } => lines.first().copied().unwrap_or(1),
                 };
                 reading.fault(line, "contract", w.to_string());
             }
@@ -83,7 +85,7 @@
     let names: Vec<String> = operations.iter().map(|o| o.is.clone()).collect();
     if let Some(platform) = platform {
         for o in &operations {
-            if !platform.operations.iter().any(|p| takes(std::slice::from_ref(&o.is), &p.name)) {
+            if !platform.operations.iter().any(|p| matches_any(std::slice::from_ref(&o.is), &p.name)) {
                 reading.fault(o.line, "operations", format!("no operation is called '{}'", o.is));
             }
         }
@@ -111,11 +113,15 @@
             if !seen.insert(operation.clone()) {
                 e.fault("operation", format!("'{operation}' stands here twice"));
             }
-            if !names.is_empty() && !takes(&names, &operation) && !names.contains(&operation) {
+            if !names.is_empty() && !matches_any(&names, &operation) && !names.contains(&operation) {
                 e.fault("operation", format!("'{operation}' is not among the contract's operations"));
             }
             let rate = own.map(|o| o.is);
-            each.extend(rate.map(|rate| Expected { operation, rate, burst: most.map_or(rate, |b| b.is) }));
+            each.extend(rate.map(|rate| OperationLimit {
+                operation,
+                rate,
+                burst: most.map_or(rate, |b| b.is),
+            }));
         }
         e.done();
     }
@@ -126,11 +132,11 @@
             }
         }
         let (units, period) = (b.number("units", 1.0..=1e15), b.number("period", 1.0..=3.2e7));
-        if let Some(p) = period.as_ref().filter(|p| p.is * LIVES > life) {
+        if let Some(p) = period.as_ref().filter(|p| p.is * COUNT_LIFETIME_PERIODS > life) {
             let why = format!(
                 "a count of {} s has to live for {} s, and the counter lets a name live for {life} s (counter.longest_life)",
                 p.is,
-                p.is * LIVES
+                p.is * COUNT_LIFETIME_PERIODS
             );
             b.fault("period", why);
         }
@@ -142,13 +148,13 @@
     Some(Contract {
         team: team?,
         version,
-        from,
-        until,
+        valid_from: from,
+        valid_until: until,
         operations: names,
         customers,
         rate,
         burst: burst.unwrap_or(rate),
-        each,
+        operation_limits: each,
         weight,
         budget,
     })
--- a/operator/src/routes.rs
+++ b/operator/src/routes.rs
@@ -2,7 +2,7 @@
 //! A class can only narrow. Nothing here decides about an invocation; `quillramp::decide` is given what is declared.
 use crate::reading::{At, Reading, Section};
 use quillramp::types::{Declared, Effect, Group};
-use quillramp_broker::contract::takes;
+use quillramp_broker::contract::matches_any;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
 
@@ -115,7 +115,7 @@
     if let Some(platform) = platform {
         let mut said = HashSet::new();
         for route in &routes {
-            for operation in platform.operations.iter().filter(|o| takes(&route.operations, &o.name)) {
+            for operation in platform.operations.iter().filter(|o| matches_any(&route.operations, &o.name)) {
                 // One fault for a class and an operation, by however many routes they meet.
                 if said.insert((route.class, &operation.name)) {
                     against(reading, (&classes[route.class], route.line), operation, platform);
@@ -184,7 +184,7 @@
     }
     if let Some(platform) = platform {
         for wanted in &operations {
-            if !platform.operations.iter().any(|o| takes(std::slice::from_ref(&wanted.is), &o.name)) {
+            if !platform.operations.iter().any(|o| matches_any(std::slice::from_ref(&wanted.is), &o.name)) {
                 let all: Vec<&str> = platform.operations.iter().map(|o| o.name.as_str()).collect();
                 let why = format!("no operation is called '{}'; there are {}", wanted.is, all.join(", "));
                 reading.fault(wanted.line, "operations", why);
@@ -212,7 +212,8 @@
 /// All that `later` takes, `earlier` takes before it.
 fn covers(earlier: &Route, later: &Route) -> bool {
     let names = |a: &[String], b: &[String]| {
-        a.is_empty() || !b.is_empty() && b.iter().all(|n| a.contains(n) || !n.ends_with('*') && takes(a, n))
+        a.is_empty()
+            || !b.is_empty() && b.iter().all(|n| a.contains(n) || !n.ends_with('*') && matches_any(a, n))
     };
     let customers = earlier.customers.is_empty()
         || !later.customers.is_empty() && later.customers.iter().all(|c| earlier.customers.contains(c));
@@ -368,9 +369,9 @@
         let mut by: HashMap<(usize, usize), Ways> = HashMap::new();
         for r in &routes.routes {
             for (o, _) in
-                platform.operations.iter().enumerate().filter(|(_, o)| takes(&r.operations, &o.name))
+                platform.operations.iter().enumerate().filter(|(_, o)| matches_any(&r.operations, &o.name))
             {
-                for (p, _) in platform.plans.iter().enumerate().filter(|(_, p)| takes(&r.plans, p)) {
+                for (p, _) in platform.plans.iter().enumerate().filter(|(_, p)| matches_any(&r.plans, p)) {
                     let ways = by.entry((o, p)).or_default();
                     // Behind one that takes everybody nothing is reached.
                     if ways.others.is_some() {
--- a/operator/src/show.rs
+++ b/operator/src/show.rs
@@ -2,7 +2,7 @@
 use crate::routes::{Class, Operation, Platform, Route};
 use crate::Operator;
 use quillramp::types::{Effect, Group};
-use quillramp_broker::contract::takes;
+use quillramp_broker::contract::matches_any;
 use std::fmt::Write;
 
 /// All that a file sets, and by operation what holds; without a platform only the former.
@@ -87,7 +87,7 @@
     };
     for o in &platform.operations {
         let _ = writeln!(text, "\n{}, {}", o.name, effect(o.effect));
-        for route in operator.routes.routes.iter().filter(|r| takes(&r.operations, &o.name)) {
+        for route in operator.routes.routes.iter().filter(|r| matches_any(&r.operations, &o.name)) {
             let class = &operator.routes.classes[route.class];
             let _ =
                 writeln!(text, "  {}: class '{}' (route on line {})", whose(route), class.name, route.line);
