Operator: document, routes, sections and show as small modules with typed settings

Change: document/ (Document, Section, values, Diagnostic), routes/ (classes, routes, checks, table), show/, and a file a section; Level and Group as enums, named bounds. All texts are as before. Callers in gateway/src follow by name or by one import. A section [admission] without connections, read without a configuration, overflowed in a debug build (4 times the largest number): it saturates. Tests: names, and one for this.

--- a/gateway/src/life/check.rs
+++ b/gateway/src/life/check.rs
@@ -1,7 +1,7 @@
 //! What the command line does beside serving: an operator's file is checked, or shown with what holds under it.
 use super::{configuration, operator};
 use quillramp_operator::routes::Platform;
-use quillramp_operator::{show, Operator};
+use quillramp_operator::{show, OperatorSettings};
 
 /// What a configuration allows, where one is named, else where the environment names one.
 fn platform(named: Option<&str>) -> Result<Option<Platform>, Vec<String>> {
@@ -14,7 +14,10 @@
     Ok(Some(operator::platform(&start.about, told.limits.sockets)))
 }
 
-fn read(file: &str, configuration: Option<&str>) -> Result<(Operator, Option<Platform>), Vec<String>> {
+fn read(
+    file: &str,
+    configuration: Option<&str>,
+) -> Result<(OperatorSettings, Option<Platform>), Vec<String>> {
     let platform = platform(configuration)?;
     let text = operator::text(file).map_err(|why| vec![why])?;
     let operator =
@@ -36,5 +39,5 @@
 /// What holds under a file, and where each value came from.
 pub fn shown(file: &str, configuration: Option<&str>) -> Result<String, Vec<String>> {
     let (operator, platform) = read(file, configuration)?;
-    Ok(show::show(&operator, platform.as_ref()))
+    Ok(show(&operator, platform.as_ref()))
 }
--- a/gateway/src/life/logger.rs
+++ b/gateway/src/life/logger.rs
@@ -1,6 +1,6 @@
 //! The log: lines go to a thread of their own through a bounded queue, so that a slow reader of standard error stops nothing. Three forms;
 //! the text of a line is the same in each.
-use quillramp_operator::log::{Form, Log};
+use quillramp_operator::log::{Format as Form, LogSettings as Log};
 use std::fmt::{self, Write};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, OnceLock};
@@ -136,10 +136,10 @@
     for (from, level) in USUAL {
         targets = targets.with_target(from, level);
     }
-    for (from, level) in log.map_or(&[][..], |l| &l.levels) {
+    for rule in log.map_or(&[][..], |l| &l.levels) {
         // Checked when the file was read. A level without a place is for our own lines.
-        let Ok(level) = level.parse::<tracing::level_filters::LevelFilter>() else { continue };
-        targets = targets.with_target(if from.is_empty() { "quillramp" } else { from }, level);
+        let Ok(level) = rule.level.name().parse::<tracing::level_filters::LevelFilter>() else { continue };
+        targets = targets.with_target(if rule.prefix.is_empty() { "quillramp" } else { &rule.prefix }, level);
     }
     targets
 }
@@ -163,7 +163,7 @@
 
 /// What an operator's file says of the log holds from now on; without one, what is usual.
 pub fn told(log: Option<&Log>) {
-    let form = log.map_or(Form::Plain, |l| l.form);
+    let form = log.map_or(Form::Plain, |l| l.format);
     FORM.store(FORMS.iter().position(|f| *f == form).unwrap_or(0), Ordering::Relaxed);
     if let Some(handle) = LEVELS.get() {
         let _ = handle.reload(levels(log)); // it fails only once there is no log any more
--- a/gateway/src/life/operator.rs
+++ b/gateway/src/life/operator.rs
@@ -2,7 +2,7 @@
 use crate::memory::event::Declares;
 use quillramp::facts::About;
 use quillramp_operator::routes::{Operation, Platform, Table};
-use quillramp_operator::{Operator, LONGEST};
+use quillramp_operator::{Diagnostic, OperatorSettings, MAX_FILE_BYTES};
 use std::fs::File;
 use std::io::Read;
 
@@ -35,9 +35,11 @@
         let about = |file: &File| file.metadata().map(|m| (m.len(), m.modified().ok()));
         let before = about(&file).map_err(told)?;
         let mut text = String::new();
-        (&mut file).take(LONGEST as u64 + 1).read_to_string(&mut text).map_err(told)?;
+        (&mut file).take(MAX_FILE_BYTES as u64 + 1).read_to_string(&mut text).map_err(told)?;
         // The same name may be another file by now; what was read is whole all the same if this one stood still.
-        if about(&file).map_err(told)? == before && text.len() as u64 == before.0.min(LONGEST as u64 + 1) {
+        if about(&file).map_err(told)? == before
+            && text.len() as u64 == before.0.min(MAX_FILE_BYTES as u64 + 1)
+        {
             return Ok(text);
         }
     }
@@ -45,19 +47,19 @@
 }
 
 /// All that is wrong, a line each, with the file's name in front.
-pub fn faults(path: &str, faults: &[quillramp_operator::reading::Fault]) -> Vec<String> {
+pub fn faults(path: &str, faults: &[Diagnostic]) -> Vec<String> {
     faults.iter().map(|f| format!("{path}: {f}")).collect()
 }
 
 /// Reads the file that the environment names; nothing is switched on where none is named. All that is wrong is said on one line.
-pub fn read(platform: &Platform) -> Result<Operator, String> {
-    let Ok(path) = std::env::var(PATH) else { return Ok(Operator::default()) };
+pub fn read(platform: &Platform) -> Result<OperatorSettings, String> {
+    let Ok(path) = std::env::var(PATH) else { return Ok(OperatorSettings::default()) };
     let text = text(&path)?;
     quillramp_operator::read(&text, Some(platform)).map_err(|wrong| faults(&path, &wrong).join("; "))
 }
 
 /// What the front door itself is told of it.
-pub fn declares(operator: Operator, platform: &Platform) -> Declares {
-    let Operator { admission, presence, broker, identity, .. } = operator;
+pub fn declares(operator: OperatorSettings, platform: &Platform) -> Declares {
+    let OperatorSettings { admission, presence, broker, identity, .. } = operator;
     Declares { routes: Table::new(&operator.routes, platform), admission, presence, broker, identity }
 }
--- a/gateway/src/memory/broker.rs
+++ b/gateway/src/memory/broker.rs
@@ -5,7 +5,7 @@
 use quillramp::types::*;
 use quillramp_broker::budget;
 use quillramp_broker::{Broker, Grant, Reason, Request, TeamId, TeamUsage, Verdict};
-use quillramp_operator::broker::Terms;
+use quillramp_operator::broker::BrokerSettings;
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -14,7 +14,7 @@
 
 pub struct Brokered {
     broker: Broker,
-    terms: Terms,
+    terms: BrokerSettings,
     /// The customer's index that stands for a team's budget, with the team; and periods by the series that their counts have.
     counts: BTreeMap<Customer, TeamId>,
     periods: BTreeMap<u32, u64>,
@@ -60,7 +60,7 @@
 
 impl Reducer {
     /// Contracts hold from now on, or none do. Invocations that were taken keep what they were granted.
-    pub(super) fn brokers(&mut self, now: f64, terms: Option<Terms>) {
+    pub(super) fn brokers(&mut self, now: f64, terms: Option<BrokerSettings>) {
         if self.broker.as_ref().map(|b| &b.terms) == terms.as_ref() {
             return;
         }
--- a/gateway/src/memory/clients.rs
+++ b/gateway/src/memory/clients.rs
@@ -74,7 +74,7 @@
         let customer = self.customers.index(&call.customer);
         let of = Doors { first: call.first, number: call.spread };
         // Taken under what is declared now, and kept under it whatever is declared later.
-        let held = self.routes.of(operation, plan, call.customer);
+        let held = self.routes.lookup(operation, plan, call.customer);
         let longest = held.map_or(f64::INFINITY, |h| h.timeout);
         let until = (now + (call.wait / 1e3).min(longest)).min(self.ends);
         let declared = held.map(|h| h.declared).unwrap_or_default();
--- a/gateway/src/memory/event.rs
+++ b/gateway/src/memory/event.rs
@@ -4,7 +4,7 @@
 use crate::wire::resp::{Answer, Call, Command, Reply};
 use quillramp_admission::Limits;
 use quillramp_identity::Trust;
-use quillramp_operator::broker::Terms;
+use quillramp_operator::broker::BrokerSettings;
 use quillramp_operator::routes::Table;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -93,7 +93,7 @@
     /// The span in which front doors look who of them reaches the counter, seconds; none where they don't.
     pub presence: Option<f64>,
     /// Contracts between teams, where there is a broker.
-    pub broker: Option<Terms>,
+    pub broker: Option<BrokerSettings>,
     /// What tokens are checked against, where callers have to be known.
     pub identity: Option<Trust>,
 }
--- a/operator/src/broker.rs
+++ b/operator/src/broker.rs
@@ -1,161 +1,200 @@
 //! The sections on the broker: its capacity, and the contracts.
-use crate::reading::{Reading, Section};
+use crate::document::{Choice, Document, Located, Section};
 use crate::routes::Platform;
 use quillramp_broker::budget::COUNT_LIFETIME_PERIODS;
 use quillramp_broker::contract::{matches_any, Budget, Conflict, Contract, Contracts, OperationLimit};
 use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
 
-/// What the platform's counter lets a name live, seconds.
-const COUNTER_LIFE: f64 = 60.0;
+/// How long the platform's counter lets a name live, seconds.
+const COUNTER_LIFETIME: f64 = 60.0;
+/// Rates and bursts that a file may declare, units a second and units.
+const RATES: RangeInclusive<f64> = 0.001..=1e9;
+/// Weights that a file may declare.
+const WEIGHTS: RangeInclusive<f64> = 0.001..=1e6;
+/// Units that a budget may have.
+const BUDGET_UNITS: RangeInclusive<f64> = 1.0..=1e15;
+/// Periods that a budget may have, seconds: up to a year.
+const BUDGET_PERIODS: RangeInclusive<f64> = 1.0..=3.2e7;
 
+const STRANGERS: [Choice<bool>; 2] =
+    [Choice { word: "pass", value: true }, Choice { word: "refuse", value: false }];
+
+/// What the file says of the broker.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Terms {
+pub struct BrokerSettings {
+    /// The contracts between teams.
     pub contracts: Contracts,
-    /// Units a second of all front doors together.
+    /// Units a second of all gateway instances together.
     pub capacity: f64,
-    /// Invocations of customers for whom no team speaks are taken as without a broker.
+    /// Requests of customers for whom no team speaks are taken as without a broker.
     pub strangers: bool,
 }
 
-/// The terms, where there is a section [broker].
-pub fn read(
-    reading: &Reading,
+/// What contracts are checked against.
+struct ContractCheck<'a> {
+    document: &'a Document,
+    platform: Option<&'a Platform>,
+    /// How long the counter lets a name live, seconds.
+    counter_lifetime: f64,
+}
+
+/// Reads the settings, where there is a section [broker].
+pub(crate) fn read(
+    document: &Document,
     file: &Section,
     platform: Option<&Platform>,
-    counter_life: Option<f64>,
-) -> Option<Terms> {
+    counter_lifetime: Option<f64>,
+) -> Option<BrokerSettings> {
+    let counter_lifetime = counter_lifetime.unwrap_or(COUNTER_LIFETIME);
     let sections = file.sections("contract");
-    let Some(s) = file.section("broker") else {
-        if let Some(first) = sections.first() {
-            reading.fault(
-                first.line,
-                "contract",
-                "there is no section [broker] that would hold anybody to it",
-            );
-        }
-        sections.into_iter().for_each(|s| drop(contract(reading, s, platform, COUNTER_LIFE)));
+    let Some(section) = file.section("broker") else {
+        let check = ContractCheck { document, platform, counter_lifetime: COUNTER_LIFETIME };
+        check.read_without_broker(sections);
         return None;
     };
-    if !s.has("capacity") {
-        s.fault("capacity", "is missing");
-    }
-    let capacity = s.number("capacity", 0.001..=1e9).map(|c| c.is);
-    let strangers = s.word("strangers", &[("pass", true), ("refuse", false)]).is_some_and(|w| w.is);
-    s.done();
-    let life = counter_life.unwrap_or(COUNTER_LIFE);
-    let lines: Vec<usize> = sections.iter().map(|s| s.line).collect();
-    let all: Vec<Option<Contract>> =
-        sections.into_iter().map(|s| contract(reading, s, platform, life)).collect();
+    section.require(&["capacity"]);
+    let capacity = section.number("capacity", RATES).map(|capacity| capacity.value);
+    let strangers = section.choice("strangers", &STRANGERS).is_some_and(|choice| choice.value);
+    section.finish();
+    let check = ContractCheck { document, platform, counter_lifetime };
+    let lines: Vec<usize> = sections.iter().map(|section| section.line).collect();
+    let contracts: Vec<Option<Contract>> = sections.into_iter().map(|section| check.read(section)).collect();
     let capacity = capacity?;
-    let all: Vec<Contract> = all.into_iter().collect::<Option<_>>()?;
-    match Contracts::new(all, capacity) {
-        Ok(contracts) => Some(Terms { contracts, capacity, strangers }),
-        Err(wrong) => {
-            for w in wrong {
-                let line = match w {
-                    Conflict::DuplicateVersion { second, .. } | Conflict::SharedCustomer { second, .. } => {
-                        lines[second]
-                    }
-                    Conflict::Oversold { .. } => lines.first().copied().unwrap_or(1),
-                };
-                reading.fault(line, "contract", w.to_string());
-            }
+    let contracts: Vec<Contract> = contracts.into_iter().collect::<Option<_>>()?;
+    match Contracts::new(contracts, capacity) {
+        Ok(contracts) => Some(BrokerSettings { contracts, capacity, strangers }),
+        Err(conflicts) => {
+            conflicts.iter().for_each(|conflict| report_conflict(document, &lines, conflict));
             None
         }
     }
 }
 
-fn contract(reading: &Reading, s: Section, platform: Option<&Platform>, life: f64) -> Option<Contract> {
-    for name in ["team", "rate"] {
-        if !s.has(name) {
-            s.fault(name, "is missing");
+fn report_conflict(document: &Document, lines: &[usize], conflict: &Conflict) {
+    let line = match conflict {
+        Conflict::DuplicateVersion { second, .. } | Conflict::SharedCustomer { second, .. } => lines[*second],
+        Conflict::Oversold { .. } => lines.first().copied().unwrap_or(1),
+    };
+    document.report(line, "contract", conflict.to_string());
+}
+
+impl ContractCheck<'_> {
+    /// Contracts without a section [broker] are wrong; what else is wrong with them is reported too.
+    fn read_without_broker(&self, sections: Vec<Section>) {
+        if let Some(first) = sections.first() {
+            let message = "there is no section [broker] that would hold anybody to it";
+            self.document.report(first.line, "contract", message);
+        }
+        for section in sections {
+            self.read(section);
         }
     }
-    let team = s.text("team").map(|t| t.is);
-    if team.as_ref().is_some_and(|t| t.is_empty()) {
-        s.fault("team", "expected a name");
-    }
-    let version = s.whole("version", 1..=u32::MAX as usize).map_or(1, |v| v.is as u32);
-    let from = s.time("from").map_or(0.0, |t| t.is);
-    let until = s.time("until").map_or(f64::INFINITY, |t| t.is);
-    if until <= from {
-        s.fault("until", "it ends before it begins");
+
+    fn read(&self, section: Section) -> Option<Contract> {
+        section.require(&["team", "rate"]);
+        let team = section.string("team").map(|team| team.value);
+        if team.as_ref().is_some_and(String::is_empty) {
+            section.report("team", "expected a name");
+        }
+        let version = section.integer("version", 1..=u32::MAX as usize).map_or(1, |n| n.value as u32);
+        let valid_from = section.timestamp("from").map_or(0.0, |time| time.value);
+        let valid_until = section.timestamp("until").map_or(f64::INFINITY, |time| time.value);
+        if valid_until <= valid_from {
+            section.report("until", "it ends before it begins");
+        }
+        let operations = self.read_operations(&section);
+        let customers = section.customers("customers");
+        let rate = section.number("rate", RATES).map(|rate| rate.value);
+        let burst = section.number("burst", RATES).map(|burst| burst.value);
+        let weight = section.number("weight", WEIGHTS).map_or(1.0, |weight| weight.value);
+        let operation_limits = read_operation_limits(&section, &operations, rate);
+        let budget = section.section("budget").and_then(|section| self.read_budget(section));
+        section.finish();
+        let rate = rate?;
+        Some(Contract {
+            team: team?,
+            version,
+            valid_from,
+            valid_until,
+            operations,
+            customers,
+            rate,
+            burst: burst.unwrap_or(rate),
+            operation_limits,
+            weight,
+            budget,
+        })
     }
-    let operations = s.texts("operations").unwrap_or_default();
-    let names: Vec<String> = operations.iter().map(|o| o.is.clone()).collect();
-    if let Some(platform) = platform {
-        for o in &operations {
-            if !platform.operations.iter().any(|p| matches_any(std::slice::from_ref(&o.is), &p.name)) {
-                reading.fault(o.line, "operations", format!("no operation is called '{}'", o.is));
+
+    fn read_operations(&self, section: &Section) -> Vec<String> {
+        let operations = section.strings("operations").unwrap_or_default();
+        if let Some(platform) = self.platform {
+            for pattern in operations.iter().filter(|pattern| !is_operation(platform, pattern)) {
+                let message = format!("no operation is called '{}'", pattern.value);
+                self.document.report(pattern.line, "operations", message);
             }
         }
+        operations.into_iter().map(|pattern| pattern.value).collect()
     }
-    let customers = s.customers("customers");
-    let rate = s.number("rate", 0.001..=1e9).map(|r| r.is);
-    let burst = s.number("burst", 0.001..=1e9).map(|b| b.is);
-    let weight = s.number("weight", 0.001..=1e6).map_or(1.0, |w| w.is);
-    let mut each = vec![];
-    let mut seen = BTreeSet::new();
-    for e in s.sections("expects") {
-        for name in ["operation", "rate"] {
-            if !e.has(name) {
-                e.fault(name, "is missing");
+
+    fn read_budget(&self, section: Section) -> Option<Budget> {
+        section.require(&["units", "period"]);
+        let units = section.number("units", BUDGET_UNITS);
+        let period = section.number("period", BUDGET_PERIODS);
+        if let Some(period) = &period {
+            let needed = period.value * COUNT_LIFETIME_PERIODS;
+            let lifetime = self.counter_lifetime;
+            if needed > lifetime {
+                let message = format!(
+                    "a count of {} s has to live for {needed} s, and the counter lets a name live for {lifetime} s \
+                     (counter.longest_life)",
+                    period.value
+                );
+                section.report("period", message);
             }
         }
-        let operation = e.text("operation").map(|o| o.is);
-        let (own, most) = (e.number("rate", 0.001..=1e9), e.number("burst", 0.001..=1e9));
-        if let (Some(own), Some(rate)) = (&own, rate) {
-            if own.is > rate {
-                e.fault("rate", format!("{} is more than the contract's {rate}", own.is));
+        section.finish();
+        Some(Budget { units: units?.value, period: period?.value })
+    }
+}
+
+fn is_operation(platform: &Platform, pattern: &Located<String>) -> bool {
+    let patterns = std::slice::from_ref(&pattern.value);
+    platform.operations.iter().any(|operation| matches_any(patterns, &operation.name))
+}
+
+fn read_operation_limits(
+    contract: &Section,
+    operations: &[String],
+    contract_rate: Option<f64>,
+) -> Vec<OperationLimit> {
+    let mut limits = vec![];
+    let mut seen = BTreeSet::new();
+    for section in contract.sections("expects") {
+        section.require(&["operation", "rate"]);
+        let operation = section.string("operation").map(|operation| operation.value);
+        let rate = section.number("rate", RATES).map(|rate| rate.value);
+        let burst = section.number("burst", RATES).map(|burst| burst.value);
+        if let (Some(rate), Some(contract_rate)) = (rate, contract_rate) {
+            if rate > contract_rate {
+                section.report("rate", format!("{rate} is more than the contract's {contract_rate}"));
             }
         }
         if let Some(operation) = operation {
             if !seen.insert(operation.clone()) {
-                e.fault("operation", format!("'{operation}' stands here twice"));
+                section.report("operation", format!("'{operation}' stands here twice"));
             }
-            if !names.is_empty() && !matches_any(&names, &operation) && !names.contains(&operation) {
-                e.fault("operation", format!("'{operation}' is not among the contract's operations"));
+            let is_in_contract = operations.is_empty()
+                || matches_any(operations, &operation)
+                || operations.contains(&operation);
+            if !is_in_contract {
+                let message = format!("'{operation}' is not among the contract's operations");
+                section.report("operation", message);
             }
-            let rate = own.map(|o| o.is);
-            each.extend(rate.map(|rate| OperationLimit {
-                operation,
-                rate,
-                burst: most.map_or(rate, |b| b.is),
-            }));
+            limits.extend(rate.map(|rate| OperationLimit { operation, rate, burst: burst.unwrap_or(rate) }));
         }
-        e.done();
+        section.finish();
     }
-    let budget = s.section("budget").and_then(|b| {
-        for name in ["units", "period"] {
-            if !b.has(name) {
-                b.fault(name, "is missing");
-            }
-        }
-        let (units, period) = (b.number("units", 1.0..=1e15), b.number("period", 1.0..=3.2e7));
-        if let Some(p) = period.as_ref().filter(|p| p.is * COUNT_LIFETIME_PERIODS > life) {
-            let why = format!(
-                "a count of {} s has to live for {} s, and the counter lets a name live for {life} s (counter.longest_life)",
-                p.is,
-                p.is * COUNT_LIFETIME_PERIODS
-            );
-            b.fault("period", why);
-        }
-        b.done();
-        Some(Budget { units: units?.is, period: period?.is })
-    });
-    s.done();
-    let rate = rate?;
-    Some(Contract {
-        team: team?,
-        version,
-        valid_from: from,
-        valid_until: until,
-        operations: names,
-        customers,
-        rate,
-        burst: burst.unwrap_or(rate),
-        operation_limits: each,
-        weight,
-        budget,
-    })
+    limits
 }
--- /dev/null
+++ b/operator/src/document/section.rs
@@ -0,0 +1,128 @@
+//! Tables of the file.
+use super::values::type_name;
+use super::Document;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::ops::Range;
+use toml_edit::{Item, TableLike, Value};
+
+/// A table of the file. Keys that are read are known; what else is there is reported by [`finish`](Section::finish).
+pub(crate) struct Section<'a> {
+    pub(super) document: &'a Document,
+    /// Its key in the file, empty for the file itself.
+    path: String,
+    pub(super) table: &'a dyn TableLike,
+    /// The line on which it begins.
+    pub line: usize,
+    known_keys: RefCell<Vec<&'static str>>,
+}
+
+impl<'a> Section<'a> {
+    pub(super) fn new(
+        document: &'a Document,
+        path: String,
+        table: &'a dyn TableLike,
+        line: usize,
+    ) -> Section<'a> {
+        Section { document, path, table, line, known_keys: RefCell::default() }
+    }
+
+    /// Something is wrong with the value of a key, or it is missing.
+    pub fn report(&self, key: &str, message: impl Into<String>) {
+        self.document.report(self.line_of(key), self.path_of(key), message);
+    }
+
+    /// Reports the keys that are missing.
+    pub fn require(&self, keys: &[&str]) {
+        for key in keys {
+            if !self.contains(key) {
+                self.report(key, "is missing");
+            }
+        }
+    }
+
+    /// Whether a key is there.
+    pub fn contains(&self, key: &str) -> bool {
+        self.table.contains_key(key)
+    }
+
+    /// A table under a key.
+    pub fn section(&self, key: &'static str) -> Option<Section<'a>> {
+        let item = self.item(key)?;
+        let path = self.path_of(key);
+        let Some(table) = item.as_table_like() else {
+            self.report(key, format!("expected a section [{path}], found {}", type_name(item)));
+            return None;
+        };
+        let line = self.document.line_of(item.span(), self.line_of(key));
+        Some(Section::new(self.document, path, table, line))
+    }
+
+    /// The tables of a list of tables, in their order.
+    pub fn sections(&self, key: &'static str) -> Vec<Section<'a>> {
+        let Some(item) = self.item(key) else { return vec![] };
+        let Some(tables) = tables_of(item) else {
+            let path = self.path_of(key);
+            self.report(key, format!("expected sections [[{path}]], found {}", type_name(item)));
+            return vec![];
+        };
+        let element = |(index, table)| self.element(key, index, table);
+        tables.into_iter().enumerate().map(element).collect()
+    }
+
+    /// All keys that it may have were read: reports what else is there.
+    pub fn finish(self) {
+        let known: BTreeSet<&str> = self.known_keys.borrow().iter().copied().collect();
+        let quoted: Vec<String> = known.iter().map(|key| format!("'{key}'")).collect();
+        for (key, item) in self.table.iter().filter(|(key, _)| !known.contains(key)) {
+            let key_span = self.table.get_key_value(key).and_then(|(key, _)| key.span());
+            let line = self.document.line_of(key_span.or(item.span()), self.line);
+            let message = format!("nothing here has this name; known are {}", quoted.join(", "));
+            self.document.report(line, self.path_of(key), message);
+        }
+    }
+
+    /// The line of a key, or of the section where the key is missing.
+    pub fn line_of(&self, key: &str) -> usize {
+        let entry = self.table.get_key_value(key);
+        let span = entry.and_then(|(key, item)| key.span().or(item.span()));
+        self.document.line_of(span, self.line)
+    }
+
+    pub(super) fn item(&self, key: &'static str) -> Option<&'a Item> {
+        self.known_keys.borrow_mut().push(key);
+        self.table.get(key)
+    }
+
+    /// A key with the path of the section before it.
+    pub(super) fn path_of(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{}.{key}", self.path)
+        }
+    }
+
+    fn element(&self, key: &str, index: usize, table: TableInFile<'a>) -> Section<'a> {
+        let path = format!("{}[{index}]", self.path_of(key));
+        let line = self.document.line_of(table.span, self.line);
+        Section::new(self.document, path, table.table, line)
+    }
+}
+
+struct TableInFile<'a> {
+    table: &'a dyn TableLike,
+    span: Option<Range<usize>>,
+}
+
+/// The tables of `[[key]]`, or of a list of inline tables.
+fn tables_of<'a>(item: &'a Item) -> Option<Vec<TableInFile<'a>>> {
+    if let Some(tables) = item.as_array_of_tables() {
+        return Some(tables.iter().map(|table| TableInFile { table, span: table.span() }).collect());
+    }
+    let inline = |value: &'a Value| {
+        let table = value.as_inline_table()?;
+        Some(TableInFile { table, span: value.span() })
+    };
+    item.as_array()?.iter().map(inline).collect()
+}
--- a/operator/src/identity.rs
+++ b/operator/src/identity.rs
@@ -1,66 +1,74 @@
 //! The section on who callers are.
-use crate::reading::Section;
+use crate::document::{Choice, Section};
 use quillramp_identity::{Key, SignatureAlgorithm, Trust};
-use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
 
-pub fn read(s: Section) -> Option<Trust> {
-    let needed = |name: &'static str| {
-        if !s.has(name) {
-            s.fault(name, "is missing");
-        }
-        let text = s.text(name)?.is;
-        if text.is_empty() {
-            s.fault(name, "expected a name");
-        }
-        Some(text)
-    };
-    let (issuer, audience) = (needed("issuer"), needed("audience"));
-    let leeway = s.number("leeway", 0.0..=60.0).map_or(2.0, |n| n.is);
-    let longest = s.number("longest", 1.0..=1e7).map_or(3600.0, |n| n.is);
-    let once = s.yes("once").is_some_and(|y| y.is);
-    let revoked: BTreeSet<String> =
-        s.texts("revoked").unwrap_or_default().into_iter().map(|t| t.is).collect();
-    let mut keys: Vec<Key> = vec![];
-    let sections = s.sections("key");
+/// Seconds that clocks may differ, and what it is where the file does not say it: clocks that are kept by NTP differ by less.
+const LEEWAYS: RangeInclusive<f64> = 0.0..=60.0;
+const DEFAULT_LEEWAY: f64 = 2.0;
+/// Seconds that a token may be valid for, and what it is where the file does not say it.
+const MAX_LIFETIMES: RangeInclusive<f64> = 1.0..=1e7;
+const DEFAULT_MAX_LIFETIME: f64 = 3600.0;
+
+const ALGORITHMS: [Choice<SignatureAlgorithm>; 2] = [
+    Choice { word: "EdDSA", value: SignatureAlgorithm::EdDsa },
+    Choice { word: "ES256", value: SignatureAlgorithm::Es256 },
+];
+
+/// Reads what tokens are checked against; none where a name is missing.
+pub(crate) fn read(section: Section) -> Option<Trust> {
+    let issuer = read_name(&section, "issuer");
+    let audience = read_name(&section, "audience");
+    let leeway = section.number("leeway", LEEWAYS).map_or(DEFAULT_LEEWAY, |n| n.value);
+    let max_lifetime = section.number("longest", MAX_LIFETIMES).map_or(DEFAULT_MAX_LIFETIME, |n| n.value);
+    let single_use = section.boolean("once").is_some_and(|once| once.value);
+    let revoked = section.strings("revoked").unwrap_or_default();
+    let revoked = revoked.into_iter().map(|name| name.value).collect();
+    let keys = read_keys(&section);
+    section.finish();
+    Some(Trust { issuer: issuer?, audience: audience?, keys, revoked, leeway, max_lifetime, single_use })
+}
+
+fn read_name(section: &Section, key: &'static str) -> Option<String> {
+    section.require(&[key]);
+    let name = section.string(key)?.value;
+    if name.is_empty() {
+        section.report(key, "expected a name");
+    }
+    Some(name)
+}
+
+fn read_keys(section: &Section) -> Vec<Key> {
+    let sections = section.sections("key");
     if sections.is_empty() {
-        s.fault("key", "without a key nobody can be known");
+        section.report("key", "without a key nobody can be known");
     }
-    for k in sections {
-        for name in ["id", "signs", "x"] {
-            if !k.has(name) {
-                k.fault(name, "is missing");
-            }
-        }
-        let text = |name: &'static str| k.text(name).map(|t| t.is);
-        let (id, x, y) = (text("id"), text("x"), text("y").unwrap_or_default());
-        let signs = k
-            .word("signs", &[("EdDSA", SignatureAlgorithm::EdDsa), ("ES256", SignatureAlgorithm::Es256)])
-            .map(|w| w.is);
-        let from = k.time("from").map_or(0.0, |t| t.is);
-        let until = k.time("until").map_or(f64::INFINITY, |t| t.is);
-        if until <= from {
-            k.fault("until", "it ends before it begins");
-        }
-        if let (Some(id), Some(x), Some(signs)) = (id, x, signs) {
-            if keys.iter().any(|other| other.id == id) {
-                k.fault("id", format!("'{id}' stands here twice"));
+    let mut keys: Vec<Key> = vec![];
+    for section in sections {
+        if let Some(key) = read_key(&section) {
+            if keys.iter().any(|other| other.id == key.id) {
+                section.report("id", format!("'{}' stands here twice", key.id));
             }
-            let key = Key { id, algorithm: signs, x, y, valid_from: from, valid_until: until };
             if let Err(error) = key.check() {
-                k.fault(error.component.name(), error.problem.to_string());
+                section.report(error.component.name(), error.problem.to_string());
             }
             keys.push(key);
         }
-        k.done();
+        section.finish();
+    }
+    keys
+}
+
+fn read_key(section: &Section) -> Option<Key> {
+    section.require(&["id", "signs", "x"]);
+    let id = section.string("id");
+    let x = section.string("x");
+    let y = section.string("y").map(|y| y.value).unwrap_or_default();
+    let algorithm = section.choice("signs", &ALGORITHMS);
+    let valid_from = section.timestamp("from").map_or(0.0, |time| time.value);
+    let valid_until = section.timestamp("until").map_or(f64::INFINITY, |time| time.value);
+    if valid_until <= valid_from {
+        section.report("until", "it ends before it begins");
     }
-    s.done();
-    Some(Trust {
-        issuer: issuer?,
-        audience: audience?,
-        keys,
-        revoked,
-        leeway,
-        max_lifetime: longest,
-        single_use: once,
-    })
+    Some(Key { id: id?.value, algorithm: algorithm?.value, x: x?.value, y, valid_from, valid_until })
 }
--- /dev/null
+++ b/operator/src/routes/mod.rs
@@ -0,0 +1,52 @@
+//! Classes of limits, and the routes that lead to them: read, and checked against the rules and the platform's configuration. A class
+//! can only narrow. Nothing here decides on a request; `quillramp::decide` is told what is declared.
+mod check;
+mod class;
+mod platform;
+mod route;
+mod table;
+pub(crate) use class::value_or;
+pub use class::Class;
+pub(crate) use platform::group_name;
+pub use platform::{Operation, Platform};
+pub use route::Route;
+pub use table::{EffectiveLimits, Table};
+
+use crate::document::{Document, Section};
+use check::ClassCheck;
+use quillramp_broker::contract::matches_any;
+use std::collections::HashSet;
+
+/// All classes and routes of a file.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Routes {
+    /// The classes, in their order.
+    pub classes: Vec<Class>,
+    /// The routes, in their order; the first that matches holds.
+    pub routes: Vec<Route>,
+}
+
+/// Reads classes and routes; what is wrong with them is reported.
+pub(crate) fn read(document: &Document, file: &Section, platform: Option<&Platform>) -> Routes {
+    let classes = class::read_all(file);
+    let routes = route::read_all(document, file, &classes, platform);
+    let routes = Routes { classes, routes };
+    if let Some(platform) = platform {
+        check_routed(document, &routes, platform);
+    }
+    routes
+}
+
+/// Checks each class for each operation that is routed to it, once however many routes do.
+fn check_routed(document: &Document, routes: &Routes, platform: &Platform) {
+    let mut checked = HashSet::new();
+    for route in &routes.routes {
+        let is_routed = |name: &str| matches_any(&route.operations, name);
+        for operation in platform.operations.iter().filter(|operation| is_routed(&operation.name)) {
+            if checked.insert((route.class, &operation.name)) {
+                let class = &routes.classes[route.class];
+                ClassCheck { document, class, route_line: route.line, operation, platform }.run();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/operator/src/routes/route.rs
@@ -0,0 +1,160 @@
+//! Routes: which requests a class is for.
+use super::class::{self, Class};
+use super::Platform;
+use crate::document::{Document, Located, Section};
+use quillramp_broker::contract::matches_any;
+use std::collections::{HashMap, HashSet};
+
+const EMPTY_LIST: &str = "an empty list takes nothing; leave it out to take all";
+
+/// Which requests a class is for; an empty list stands for all.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Route {
+    /// The line on which it begins.
+    pub line: usize,
+    /// Patterns of operations, see [`matches_any`].
+    pub operations: Vec<String>,
+    /// Names of plans.
+    pub plans: Vec<String>,
+    /// Customers.
+    pub customers: Vec<u64>,
+    /// The place of its class among all classes.
+    pub class: usize,
+}
+
+impl Route {
+    /// Whether it takes all that a later route takes.
+    fn covers(&self, later: &Route) -> bool {
+        let covers_customers = self.customers.is_empty()
+            || !later.customers.is_empty() && later.customers.iter().all(|id| self.customers.contains(id));
+        covers_customers
+            && covers_names(&self.operations, &later.operations)
+            && covers_names(&self.plans, &later.plans)
+    }
+}
+
+fn covers_names(patterns: &[String], later: &[String]) -> bool {
+    let covers =
+        |name: &String| patterns.contains(name) || !name.ends_with('*') && matches_any(patterns, name);
+    patterns.is_empty() || !later.is_empty() && later.iter().all(covers)
+}
+
+/// Reads all routes.
+pub(super) fn read_all(
+    document: &Document,
+    file: &Section,
+    classes: &[Class],
+    platform: Option<&Platform>,
+) -> Vec<Route> {
+    let mut routes = RouteList::default();
+    for section in file.sections("route") {
+        if let Some(route) = read(document, &section, classes, platform) {
+            if let Some(line) = routes.line_that_covers(&route) {
+                let message = format!("is never reached: the route on line {line} takes all of it");
+                document.report(route.line, "route", message);
+            }
+            routes.push(route);
+        }
+        section.finish();
+    }
+    routes.routes
+}
+
+/// Routes in their order, by the customers that they name.
+#[derive(Default)]
+struct RouteList {
+    routes: Vec<Route>,
+    /// Places of the routes that name a customer, and of those that name none.
+    by_customer: HashMap<Option<u64>, Vec<usize>>,
+}
+
+impl RouteList {
+    /// The first line of a route that takes all that another one takes.
+    fn line_that_covers(&self, later: &Route) -> Option<usize> {
+        // Only those can that name no customer, and those that name its first.
+        let for_all = self.by_customer.get(&None);
+        let first_customer = later.customers.first();
+        let naming_first = first_customer.and_then(|customer| self.by_customer.get(&Some(*customer)));
+        let places = for_all.into_iter().chain(naming_first).flatten();
+        let earlier = places.map(|place| &self.routes[*place]);
+        earlier.filter(|route| route.covers(later)).map(|route| route.line).min()
+    }
+
+    fn push(&mut self, route: Route) {
+        let place = self.routes.len();
+        if route.customers.is_empty() {
+            self.by_customer.entry(None).or_default().push(place);
+        }
+        for customer in &route.customers {
+            self.by_customer.entry(Some(*customer)).or_default().push(place);
+        }
+        self.routes.push(route);
+    }
+}
+
+fn read(
+    document: &Document,
+    section: &Section,
+    classes: &[Class],
+    platform: Option<&Platform>,
+) -> Option<Route> {
+    let operations = read_names(section, "operations");
+    let plans = read_names(section, "plans");
+    let customers = read_customers(section);
+    report_repeated(document, "operations", &operations);
+    report_repeated(document, "plans", &plans);
+    if let Some(platform) = platform {
+        check_operations(document, &operations, platform);
+        check_plans(document, &plans, platform);
+    }
+    let class = class::find(section, classes)?;
+    let values = |names: Vec<Located<String>>| names.into_iter().map(|name| name.value).collect();
+    Some(Route { line: section.line, operations: values(operations), plans: values(plans), customers, class })
+}
+
+fn read_names(section: &Section, key: &'static str) -> Vec<Located<String>> {
+    let names = section.strings(key);
+    if names.as_ref().is_some_and(Vec::is_empty) {
+        section.report(key, EMPTY_LIST);
+    }
+    names.unwrap_or_default()
+}
+
+fn read_customers(section: &Section) -> Vec<u64> {
+    let customers = section.customers("customers");
+    if section.is_empty_list("customers") {
+        section.report("customers", EMPTY_LIST);
+    }
+    let mut seen = HashSet::new();
+    if let Some(repeated) = customers.iter().find(|customer| !seen.insert(**customer)) {
+        section.report("customers", format!("'{repeated:016x}' stands here twice"));
+    }
+    customers
+}
+
+fn report_repeated(document: &Document, key: &str, names: &[Located<String>]) {
+    let mut seen = HashSet::new();
+    for name in names.iter().filter(|name| !seen.insert(&name.value)) {
+        document.report(name.line, key, format!("'{}' stands here twice", name.value));
+    }
+}
+
+fn check_operations(document: &Document, patterns: &[Located<String>], platform: &Platform) {
+    let names: Vec<&str> = platform.operations.iter().map(|operation| operation.name.as_str()).collect();
+    for pattern in patterns {
+        let is_known = names.iter().any(|name| matches_any(std::slice::from_ref(&pattern.value), name));
+        if !is_known {
+            let message =
+                format!("no operation is called '{}'; there are {}", pattern.value, names.join(", "));
+            document.report(pattern.line, "operations", message);
+        }
+    }
+}
+
+fn check_plans(document: &Document, plans: &[Located<String>], platform: &Platform) {
+    for plan in plans.iter().filter(|plan| !platform.plans.contains(&plan.value)) {
+        let known = platform.plans.join(", ");
+        let message = format!("no plan is called '{}'; there are {known}", plan.value);
+        document.report(plan.line, "plans", message);
+    }
+}
--- /dev/null
+++ b/operator/src/show/operations.rs
@@ -0,0 +1,74 @@
+//! The limits that hold for each operation, by route.
+use crate::document::Located;
+use crate::routes::{group_name, value_or, Class, Operation, Platform, Route, Routes};
+use quillramp::types::Effect;
+use quillramp_broker::contract::matches_any;
+
+pub(super) fn show(routes: &Routes, platform: &Platform) -> String {
+    platform.operations.iter().map(|operation| show_operation(routes, operation, platform)).collect()
+}
+
+fn show_operation(routes: &Routes, operation: &Operation, platform: &Platform) -> String {
+    let mut text = format!("\n{}, {}\n", operation.name, effect(operation.effect));
+    let matching = routes.routes.iter().filter(|route| matches_any(&route.operations, &operation.name));
+    for route in matching {
+        let class = &routes.classes[route.class];
+        let line = route.line;
+        text += &format!("  {}: class '{}' (route on line {line})\n", customers(route), class.name);
+        text += &limits(operation, class, platform);
+    }
+    text += "  all else: as configured\n";
+    text += &limits(operation, &Class::default(), platform);
+    text
+}
+
+fn effect(effect: Effect) -> String {
+    match effect {
+        Effect::Idempotent => "idempotent".into(),
+        Effect::NonIdempotent => "non-idempotent".into(),
+        Effect::Tokened { group, window } => {
+            format!("tokened, in group '{}' for {window} s", group_name(group))
+        }
+    }
+}
+
+fn customers(route: &Route) -> String {
+    let plans = if route.plans.is_empty() { "all plans".into() } else { route.plans.join(", ") };
+    match route.customers[..] {
+        [] => format!("{plans}, all customers"),
+        [customer] => format!("{plans}, customer {customer:016x}"),
+        _ => format!("{plans}, {} customers", route.customers.len()),
+    }
+}
+
+/// A line for each limit: what holds, and where it came from.
+fn limits(operation: &Operation, class: &Class, platform: &Platform) -> String {
+    let attempts = value_or(&class.attempts, platform.attempts).min(platform.attempts);
+    let allows_copies = platform.second_copies && operation.effect == Effect::Idempotent;
+    let second_copies = if allows_copies && value_or(&class.second_copies, true) { "yes" } else { "no" };
+    let objective = value_or(&class.objective, operation.objective);
+    let timeout = value_or(&class.timeout, operation.timeout);
+    let mut text = limit("attempts", &attempts.to_string(), &class.attempts);
+    text += &limit("second copies", second_copies, &class.second_copies);
+    text += &declared_limit("per try", &class.per_try);
+    text += &limit("latency objective", &format!("{objective} s"), &class.objective);
+    text += &limit("integration timeout", &format!("{timeout} s"), &class.timeout);
+    text += &declared_limit("repeats within", &class.repeat_within);
+    text
+}
+
+/// A limit in seconds that there is only where it is declared.
+fn declared_limit(name: &str, seconds: &Option<Located<f64>>) -> String {
+    match seconds {
+        Some(located) => limit(name, &format!("{} s", located.value), seconds),
+        None => String::new(),
+    }
+}
+
+fn limit<T>(name: &str, value: &str, declared: &Option<Located<T>>) -> String {
+    let source = match declared {
+        Some(located) => format!("line {}", located.line),
+        None => "configuration".into(),
+    };
+    format!("    {name} {value} ({source})\n")
+}
--- /dev/null
+++ b/operator/src/show/sections.rs
@@ -0,0 +1,83 @@
+//! A line or more for each section of the file.
+use crate::broker::BrokerSettings;
+use crate::log::{LevelRule, LogSettings};
+use crate::OperatorSettings;
+use quillramp_admission::Limits;
+use quillramp_broker::contract::Contract;
+use quillramp_identity::Trust;
+
+pub(super) fn show(settings: &OperatorSettings) -> String {
+    let lines = [
+        settings.admission.as_ref().map_or("admission: off".into(), admission),
+        settings.log.as_ref().map_or("log: plain, levels as usual".into(), log),
+        settings.presence.map_or("roster on the counter: off".into(), presence),
+        settings.identity.as_ref().map_or("callers: need not be known".into(), identity),
+        settings.broker.as_ref().map_or("broker: off".into(), broker),
+    ];
+    lines.map(|line| line + "\n").concat()
+}
+
+fn admission(limits: &Limits) -> String {
+    let Limits {
+        connections,
+        reserve,
+        per_address,
+        strangers,
+        rate,
+        burst,
+        unfinished,
+        first_word,
+        known_for,
+        known,
+    } = limits;
+    format!(
+        "admission: {connections} connections, {reserve} kept for known addresses; of one address {per_address}, \
+         {rate} new a second, {burst} at once, {unfinished} unfinished commands; {strangers} strangers, \
+         first word within {first_word} s; known for {known_for} s, and {} networks",
+        known.len()
+    )
+}
+
+fn log(settings: &LogSettings) -> String {
+    let levels: Vec<String> = settings.levels.iter().map(level).collect();
+    let levels = if levels.is_empty() { "as usual".into() } else { levels.join(", ") };
+    format!("log: {:?}, levels {levels}", settings.format)
+}
+
+fn level(rule: &LevelRule) -> String {
+    let level = rule.level.name();
+    if rule.prefix.is_empty() {
+        level.to_owned()
+    } else {
+        format!("{} {level}", rule.prefix)
+    }
+}
+
+fn presence(interval: f64) -> String {
+    format!("roster on the counter: every {interval} s")
+}
+
+fn identity(trust: &Trust) -> String {
+    let Trust { issuer, audience, max_lifetime, .. } = trust;
+    let (keys, revoked) = (trust.keys.len(), trust.revoked.len());
+    let single_use = if trust.single_use { ", each used once" } else { "" };
+    format!(
+        "callers: tokens of {issuer} for {audience}, {keys} keys, {revoked} revoked, of {max_lifetime} s at the \
+         most{single_use}"
+    )
+}
+
+fn broker(settings: &BrokerSettings) -> String {
+    let strangers = if settings.strangers { "pass" } else { "are refused" };
+    let capacity = settings.capacity;
+    let contracts: String = settings.contracts.all().iter().map(contract).collect();
+    format!("broker: {capacity} units a second in all; strangers {strangers}{contracts}")
+}
+
+fn contract(contract: &Contract) -> String {
+    let Contract { team, version, rate, burst, weight, .. } = contract;
+    let budget = contract
+        .budget
+        .map_or(String::new(), |budget| format!(", {} units in {} s", budget.units, budget.period));
+    format!("\n  {team} version {version}: {rate} units a second, {burst} at once, weight {weight}{budget}")
+}
--- a/operator/tests/files.rs
+++ b/operator/tests/files.rs
@@ -2,10 +2,9 @@
 use expect_test::{expect, expect_file, Expect};
 use proptest::prelude::*;
 use quillramp::types::{Declared, Effect, Group};
-use quillramp_operator::log::Form;
+use quillramp_operator::log::{Format, Level, LevelRule};
 use quillramp_operator::routes::{Operation, Platform, Table};
-use quillramp_operator::show::show;
-use quillramp_operator::{read, Operator, LONGEST};
+use quillramp_operator::{read, show, Diagnostic, OperatorSettings, MAX_FILE_BYTES};
 use std::fmt::Write;
 use std::path::Path;
 
@@ -35,10 +34,8 @@
 }
 
 /// All that is said of it, a line each.
-fn said(text: &str) -> Result<Operator, String> {
-    let lines = |faults: Vec<_>| {
-        faults.iter().map(|f: &quillramp_operator::reading::Fault| format!("{f}\n")).collect()
-    };
+fn said(text: &str) -> Result<OperatorSettings, String> {
+    let lines = |all: Vec<Diagnostic>| all.iter().map(|d| format!("{d}\n")).collect();
     read(text, Some(&platform())).map_err(lines)
 }
 
@@ -48,9 +45,9 @@
 
 #[test]
 fn nothing_is_switched_on_by_an_empty_file() {
-    assert_eq!(said(""), Ok(Operator::default()));
-    assert_eq!(said("# nothing yet\n"), Ok(Operator::default()));
-    assert_eq!(Table::new(&Operator::default().routes, &platform()).of(0, 0, 7), None);
+    assert_eq!(said(""), Ok(OperatorSettings::default()));
+    assert_eq!(said("# nothing yet\n"), Ok(OperatorSettings::default()));
+    assert_eq!(Table::new(&OperatorSettings::default().routes, &platform()).lookup(0, 0, 7), None);
 }
 
 #[test]
@@ -93,6 +90,14 @@
     );
 }
 
+/// Guards: without a configuration the number of connections has no bound, and four times as many overflowed.
+#[test]
+fn an_admission_section_without_connections_says_so() {
+    let all = read("[admission]\n", None).expect_err("it is wrong");
+    let texts: Vec<String> = all.iter().map(Diagnostic::to_string).collect();
+    assert_eq!(texts, ["line 1: admission.connections: is missing"]);
+}
+
 /// Each file of the folder has one thing wrong with it, or more, and says so; all of it at once.
 #[test]
 fn wrong_files_say_why() {
@@ -157,19 +162,20 @@
 fn the_first_route_that_fits_holds() {
     let operator = said(GOOD).expect("right");
     let log = operator.log.clone().expect("there");
-    assert_eq!(log.form, Form::Json);
-    assert_eq!(log.levels[1], ("quillramp_gateway::memory".into(), "debug".into()));
+    assert_eq!(log.format, Format::Json);
+    let memory = LevelRule { prefix: "quillramp_gateway::memory".into(), level: Level::Debug };
+    assert_eq!(log.levels[1], memory);
     let table = Table::new(&operator.routes, &platform());
-    let attempts = |o, p, c| table.of(o, p, c).map(|h| h.declared.attempts);
+    let attempts = |o, p, c| table.lookup(o, p, c).map(|h| h.declared.attempts);
     assert_eq!(attempts(0, 0, 0xb4d65521), Some(1), "named");
     assert_eq!(attempts(0, 1, 0xb4d65521), Some(1), "under any plan");
     assert_eq!(attempts(0, 0, 1), Some(3));
     assert_eq!(attempts(0, 1, 1), None, "another plan");
     assert_eq!(attempts(4, 1, 1), Some(1), "by a star");
-    let held = table.of(2, 0, 1).expect("routed");
+    let held = table.lookup(2, 0, 1).expect("routed");
     assert_eq!(held.declared, Declared { repeat_within: 1.0, ..Declared::default() });
     assert_eq!(held.timeout, f64::INFINITY);
-    assert_eq!(table.of(1, 0, 1).expect("routed").timeout, 1.0);
+    assert_eq!(table.lookup(1, 0, 1).expect("routed").timeout, 1.0);
 }
 
 #[test]
@@ -278,12 +284,12 @@
     }
     let operator = said(&text).expect("right");
     let table = Table::new(&operator.routes, &platform());
-    assert!((0..1000).all(|i| table.of(0, 1, i).is_some()) && table.of(0, 1, 1000).is_none());
-    let filled = text.clone() + &"#".repeat(LONGEST - text.len());
+    assert!((0..1000).all(|i| table.lookup(0, 1, i).is_some()) && table.lookup(0, 1, 1000).is_none());
+    let filled = text.clone() + &"#".repeat(MAX_FILE_BYTES - text.len());
     assert!(said(&filled).is_ok());
     assert_eq!(
         said(&(filled + "#")),
-        Err(format!("line 1: the file has {} bytes, {LONGEST} at the most\n", LONGEST + 1))
+        Err(format!("line 1: the file has {} bytes, {MAX_FILE_BYTES} at the most\n", MAX_FILE_BYTES + 1))
     );
 }
 
@@ -339,7 +345,7 @@
         let Ok(operator) = read(&text, Some(&p)) else { return Ok(()) };
         let table = Table::new(&operator.routes, &p);
         for (i, o) in p.operations.iter().enumerate() {
-            let Some(held) = table.of(i, 0, 1) else { continue };
+            let Some(held) = table.lookup(i, 0, 1) else { continue };
             let d = held.declared;
             let timeout = held.timeout.min(o.timeout);
             prop_assert!(held.timeout.is_infinite() || held.timeout <= o.timeout);
