--- a/gateway/src/memory/clients.rs
+++ b/gateway/src/memory/clients.rs
@@ -12,7 +12,7 @@
     pub(super) fn command(&mut self, now: f64, id: u64, command: Command) {
         let takes = self.takes_clients();
         if let Some(gate) = &mut self.gate {
-            gate.whole(now, id);
+            gate.command_started(now, id);
         }
         let Some(client) = self.clients.get_mut(&id) else { return };
         (client.used, client.said, client.half, client.grown) = (now, true, None, None);
@@ -75,7 +75,7 @@
         let customer = self.customers.index(&call.customer);
         let of = Doors { first: call.first, number: call.spread };
         // Taken under what is declared now, and kept under it whatever is declared later.
-        let held = self.routes.of(operation, plan, call.customer);
+        let held = self.routes.lookup(operation, plan, call.customer);
         let longest = held.map_or(f64::INFINITY, |h| h.timeout);
         let until = (now + (call.wait / 1e3).min(longest)).min(self.ends);
         let declared = held.map(|h| h.declared).unwrap_or_default();
@@ -123,7 +123,7 @@
         let (id, command) = (held.client, held.command);
         if let Some(gate) = &mut self.gate {
             let well = matches!(answer, Answer::Value(_) | Answer::Passed);
-            gate.answered(now, id, held.call.customer, well);
+            gate.command_answered(now, id, held.call.customer, well);
         }
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.used = now;
