The list is asked again after refusals by one call at a time, each pause longer, by chance

Cause: put a pause of 0.5 s, the same at all front doors, in place of 1 to 3 s by chance: a service that bears only so many calls turned them all away. And each failure set a timer of its own (Due::Ask, Bell::List), so a call that failed twice, once at the old address and once at the new one, went on as two.

Change: the decisions pace it again (Door::unlisted): 0.5 s at first, doubled with each failure up to 2 s, each give or take half by chance; a later pause takes the place of an earlier one, in the decisions and for connections that end unanswered.

--- a/gateway/src/memory/list.rs
+++ b/gateway/src/memory/list.rs
@@ -15,9 +15,6 @@
 const ANSWER_GRACE: f64 = 0.4;
 /// The pause after a connection that was refused or ended without an answer, seconds.
 const RECONNECT_PAUSE: f64 = 0.2;
-/// The pause after an answer that is no list, such as a 503, seconds. A service may turn two calls away behind a watch that
-/// fell silent, and be slow with each answer: longer than `RECONNECT_PAUSE`, to spare it, and the sum still under 6 s.
-const FAILURE_PAUSE: f64 = 0.5;
 /// How much longer an overdue connection is kept beside the new ones, seconds: a service that takes up to `ANSWER_GRACE`
 /// and this for an answer is heard, whichever connections went mute before (docs/list-service.md).
 const OVERDUE_KEPT: f64 = 2.0;
@@ -135,7 +132,8 @@
         if self.list == Some(id) {
             self.list = None;
             if std::mem::replace(&mut self.list_mute, true) {
-                self.at(now + RECONNECT_PAUSE, Due::Ask);
+                self.timers.remove(&self.ask_again);
+                self.ask_again = self.at(now + RECONNECT_PAUSE, Due::Ask);
             } else {
                 self.watch(now);
             }
@@ -182,7 +180,7 @@
         self.list_mute = true;
         if self.list == Some(id) {
             self.list = None;
-            self.at(now + FAILURE_PAUSE, Due::Ask);
+            self.door.unlisted(now);
         }
     }
 }
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -61,6 +61,8 @@
     pub(super) counter_calls: u64,
     pub(super) list: Option<u64>,
     pub(super) watch_ends: Timer,
+    /// When the list service is asked again after a connection that ended unanswered.
+    pub(super) ask_again: Timer,
     /// The last call to the list service failed or went unanswered. Then the connections to it that may still answer, the
     /// oldest first, and until when each is kept.
     pub(super) list_mute: bool,
@@ -116,6 +118,7 @@
             counter_calls: 0,
             list: None,
             watch_ends: (0, 0),
+            ask_again: (0, 0),
             list_mute: false,
             overdue: VecDeque::new(),
             index: None,
--- a/gateway/tests/list_turned_away.rs
+++ b/gateway/tests/list_turned_away.rs
@@ -103,3 +103,29 @@
     let next = gateway.takes(Event::Response(slow, Response { status: 200, body, last: false }));
     assert!(matches!(next, Some(Request::Watch { since: 42, .. })), "{next:?}");
 }
+
+/// Guards: after SIGHUP in the middle of refusals two chains of calls went on beside each other, each half a second apart at all
+/// front doors together, and a service that bears only so many calls turned all of them away for good.
+#[test]
+fn a_service_that_turns_calls_away_is_asked_less_often_and_by_one_call_at_a_time() {
+    for seed in 0..SEEDS {
+        let mut gateway = Gateway::start(seed);
+        let watch = gateway.connects();
+        gateway.takes(Event::Up(watch));
+        let (mut calls, mut moved) = (0, false);
+        while gateway.now < START + 30.0 {
+            let conn = gateway.connects();
+            calls += 1;
+            gateway.takes(Event::Up(conn));
+            if !moved && gateway.now > START + 10.0 {
+                moved = true;
+                let list = "127.0.0.1:7999".parse().expect("an address");
+                gateway.takes(Event::Moved { list, counter: None });
+                continue;
+            }
+            gateway.takes(Event::Response(conn, Response { status: 503, body: vec![], last: false }));
+        }
+        // One call in 2 s on the mean once it has failed often.
+        assert!((10..=24).contains(&calls), "seed {seed}: {calls} calls in 30 s");
+    }
+}
