A burst of changes while front doors restart; absent front doors' lifts are reckoned apart

The stand-in counter held each count back by just what makes a front door lift it, so many calls were followed by a lift that in a fleet all front doors share; the lag now grows and is lifted away by the others as it would be there. A tenant's burst holds one request at the least: 25 front doors were all throttled. The operator's file with routes names the operation that may be repeated: it was refused. Front doors on sockets restart and tell when a version of the list is in force; scale changes measures write to in force on each.

--- a/load/src/scale/command.rs
+++ b/load/src/scale/command.rs
@@ -5,6 +5,7 @@
 use super::real::{self, Span};
 use super::report;
 use super::rows::{self, Row, Source};
+use super::spreading::{self, Burst};
 use super::sweep::{self, Bounds};
 use clap::Subcommand;
 use std::path::PathBuf;
@@ -65,6 +66,22 @@
         #[arg(long)]
         out: PathBuf,
     },
+    /// A burst of changes of the list while front doors restart: seconds from write to in force. Hollow ones, on sockets.
+    Changes {
+        #[command(flatten)]
+        point: Point,
+        #[command(flatten)]
+        burst: Burst,
+        /// The name of the run in its rows.
+        #[arg(long, default_value = "changes")]
+        run: String,
+        /// Front doors that are there.
+        #[arg(long, default_value_t = 420)]
+        hollow: usize,
+        /// A file that the rows are appended to.
+        #[arg(long)]
+        out: PathBuf,
+    },
     /// Slopes of the rows of a sweep: a table on standard output, `slopes.csv` and charts in the folder.
     Fit {
         rows: PathBuf,
@@ -95,6 +112,11 @@
             let missing = sweep::sweep(base, factors, (span, *hollow, bounds), out)?;
             Ok(missing.iter().map(|line| format!("missing: {line}\n")).collect())
         }
+        Scale::Changes { point, burst, run, hollow, out } => {
+            let measured = spreading::measure(run, point, *hollow, burst)?;
+            rows::append(out, &measured)?;
+            Ok(text(&measured))
+        }
         Scale::Fit { rows, folder } => {
             let rows = rows::read(rows)?;
             let source = rows.first().map_or(Source::InProcess, |r| r.source);
--- a/load/src/scale/counts.rs
+++ b/load/src/scale/counts.rs
@@ -1,4 +1,6 @@
-//! The counts of a stand-in counter. Where one front door stands for a fleet, what the others would have added is reckoned.
+//! The counts of a stand-in counter. Where one front door stands for a fleet, what the others would have added is reckoned:
+//! what they spend of each tenant's quota, and their lifts of a count that lags behind what its store regained. So the
+//! front doors that are there make hardly any lifts; of those of a whole fleet each would have its part.
 use super::point::{burst, quota, Tenant};
 use std::collections::HashMap;
 
@@ -37,9 +39,7 @@
         }
         let Some(level) = self.levels.get_mut(name) else { return by };
         if let Some(r) = reckoned {
-            let regained = r.quota * (now - r.began).max(0.0);
-            let spent = level.units + r.spends * (now - level.at);
-            level.units = spent.clamp(regained - LAG * r.burst, regained + r.burst);
+            level.units = r.level(now, level);
         }
         level.at = now;
         level.units += by;
@@ -69,3 +69,14 @@
     /// Units a second at the other front doors.
     spends: f64,
 }
+
+impl Reckoned {
+    /// Where the count stands now, with what the others spent and lifted since it was last asked about.
+    fn level(&self, now: f64, last: &Level) -> f64 {
+        let regained = |at: f64| self.quota * (at - self.began).max(0.0);
+        let lag = regained(now) - last.units - self.spends * (now - last.at);
+        // Whoever of them sees it lag so far lifts it to what was regained, again and again.
+        let lag = if lag > LAG * self.burst { lag % (LAG * self.burst) } else { lag };
+        regained(now) - lag.max(-self.burst)
+    }
+}
--- a/load/src/scale/hollow_run.rs
+++ b/load/src/scale/hollow_run.rs
@@ -80,8 +80,8 @@
 pub fn in_process(run: &str, point: &Point, front_doors: usize, span: &Span) -> Result<Vec<Row>, String> {
     let mut rows = Rows::new(run, Source::InProcess, point);
     let own = std::process::id();
-    let before = usage(own);
     let mut simulation = Simulation::new(point, front_doors)?;
+    let before = usage(own); // tenants and their draw, which all front doors share, are there by now
     simulation.run(span.warm_up)?;
     let [_, list, _] = simulation.tallies.read();
     rows.add("hollow front doors", front_doors as f64, "1");
--- a/load/src/scale/mod.rs
+++ b/load/src/scale/mod.rs
@@ -19,6 +19,7 @@
 pub mod report;
 pub mod rows;
 pub mod servers;
+pub mod spreading;
 pub mod stand_ins;
 pub mod steady;
 pub mod sweep;
--- a/load/src/scale/on_sockets.rs
+++ b/load/src/scale/on_sockets.rs
@@ -29,12 +29,49 @@
 enum Item {
     Step(usize),
     Arrive(usize),
-    Up(usize, Conn),
-    Receive(usize, Conn, Vec<u8>),
+    Up(Port),
+    Receive(Port, Vec<u8>),
+    Stop(usize),
+    Start(usize),
 }
 
+/// A connection to a backend, of one process of a front door.
+#[derive(Clone, Copy)]
+struct Port {
+    slot: usize,
+    start: u64,
+    conn: Conn,
+}
+
+/// A front door that is to be killed, and when; it starts again after `RESTART`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Restart {
+    /// Unix time in seconds.
+    pub at: f64,
+    pub front_door: usize,
+}
+
+/// A front door first asked for what comes after a version of the list: it has all until then in force.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct InForce {
+    pub front_door: usize,
+    pub version: u64,
+    /// Unix time in seconds.
+    pub at: f64,
+}
+
+/// Seconds that a front door is away for a restart.
+pub const RESTART: f64 = 1.0;
+
 struct Slot {
-    front_door: HollowFrontDoor,
+    /// None while it restarts.
+    front_door: Option<HollowFrontDoor>,
+    /// Counts its processes: what is on its way to an earlier one is lost.
+    starts: u64,
+    /// What earlier processes answered and used.
+    before: Reading,
+    /// The newest version of the list that it has had in force.
+    version: u64,
     arrivals: Arrivals,
     step_at: f64,
 }
@@ -56,6 +93,11 @@
     tokens: HashMap<(usize, Conn), Token>,
     next_token: usize,
     scratch: Vec<u8>,
+    point: Point,
+    parts: Parts,
+    first: usize,
+    /// When its front doors had which version of the list in force.
+    pub in_force: Vec<InForce>,
 }
 
 /// What a group had answered and used at one time.
@@ -65,6 +107,17 @@
     pub processor: Duration,
 }
 
+impl Reading {
+    fn of(front_door: &HollowFrontDoor) -> Reading {
+        Reading { answered: front_door.answered, processor: front_door.processor }
+    }
+
+    fn add(&mut self, more: &Reading) {
+        self.answered = self.answered.plus(&more.answered);
+        self.processor += more.processor;
+    }
+}
+
 impl Group {
     /// Starts the front doors of these numbers.
     pub fn start(
@@ -74,11 +127,18 @@
         parts: Parts,
     ) -> Result<Group, String> {
         let poll = Poll::new().map_err(|e| format!("poll: {e}"))?;
-        let (now, mut slots) = (unix_now(), vec![]);
+        let (now, first, mut slots) = (unix_now(), front_doors.start, vec![]);
         for front_door in front_doors {
             let arrivals = Arrivals::new(point, population, front_door)?;
             let front_door = HollowFrontDoor::new(now, point, front_door, parts)?;
-            slots.push(Slot { front_door, arrivals, step_at: now });
+            slots.push(Slot {
+                front_door: Some(front_door),
+                starts: 0,
+                before: Reading::default(),
+                version: 0,
+                arrivals,
+                step_at: now,
+            });
         }
         let mut group = Group {
             poll,
@@ -88,6 +148,10 @@
             tokens: HashMap::new(),
             next_token: 0,
             scratch: vec![0; SCRATCH],
+            point: point.clone(),
+            parts,
+            first,
+            in_force: vec![],
         };
         for slot in 0..group.slots.len() {
             group.agenda.put(now, Item::Step(slot));
@@ -98,6 +162,14 @@
         Ok(group)
     }
 
+    /// Restarts those of these front doors that are its own.
+    pub fn restart(&mut self, restarts: &[Restart]) {
+        let own = self.first..self.first + self.slots.len();
+        for restart in restarts.iter().filter(|r| own.contains(&r.front_door)) {
+            self.agenda.put(restart.at, Item::Stop(restart.front_door - self.first));
+        }
+    }
+
     /// Serves until that Unix time.
     pub fn run(&mut self, until: f64) {
         let mut events = Events::with_capacity(EVENTS);
@@ -121,8 +193,8 @@
     pub fn read(&self) -> Reading {
         let mut all = Reading::default();
         for slot in &self.slots {
-            all.answered = all.answered.plus(&slot.front_door.answered);
-            all.processor += slot.front_door.processor;
+            all.add(&slot.before);
+            slot.front_door.iter().for_each(|front_door| all.add(&Reading::of(front_door)));
         }
         all
     }
@@ -132,18 +204,66 @@
             Item::Step(slot) => self.step(slot),
             Item::Arrive(slot) => {
                 let request = self.slots[slot].arrivals.request();
-                self.slots[slot].front_door.request(&request);
-                self.wake(slot, self.agenda.now);
+                self.reach(slot, |front_door| front_door.request(&request));
                 self.next_arrival(slot, self.agenda.now);
             }
-            Item::Up(slot, conn) => {
-                self.slots[slot].front_door.connected(conn);
-                self.wake(slot, self.agenda.now);
+            Item::Up(port) if self.is_there(port) => {
+                self.reach(port.slot, |front_door| front_door.connected(port.conn));
             }
-            Item::Receive(slot, conn, bytes) => {
-                self.slots[slot].front_door.received(conn, &bytes);
-                self.wake(slot, self.agenda.now);
+            Item::Receive(port, bytes) if self.is_there(port) => {
+                self.reach(port.slot, |front_door| front_door.received(port.conn, &bytes));
             }
+            Item::Up(_) | Item::Receive(..) => {}
+            Item::Stop(slot) => self.stop(slot),
+            Item::Start(slot) => self.start_again(slot),
+        }
+    }
+
+    fn is_there(&self, port: Port) -> bool {
+        self.slots[port.slot].starts == port.start
+    }
+
+    /// Tells a front door something, if it is there.
+    fn reach(&mut self, slot: usize, what: impl FnOnce(&mut HollowFrontDoor)) {
+        if let Some(front_door) = &mut self.slots[slot].front_door {
+            what(front_door);
+        }
+        self.wake(slot, self.agenda.now);
+    }
+
+    fn stop(&mut self, slot: usize) {
+        let gone = &mut self.slots[slot];
+        gone.starts += 1;
+        if let Some(front_door) = gone.front_door.take() {
+            gone.before.add(&Reading::of(&front_door));
+        }
+        let own: Vec<(usize, Conn)> = self.tokens.keys().filter(|key| key.0 == slot).copied().collect();
+        own.into_iter().for_each(|(slot, conn)| self.close(slot, conn));
+        self.agenda.put(self.agenda.now + RESTART, Item::Start(slot));
+    }
+
+    fn start_again(&mut self, slot: usize) {
+        let started = HollowFrontDoor::new(unix_now(), &self.point, self.first + slot, self.parts);
+        self.slots[slot].front_door = started.ok(); // the same settings were read at its first start
+        self.wake(slot, self.agenda.now);
+    }
+
+    fn close(&mut self, slot: usize, conn: Conn) {
+        let token = self.tokens.remove(&(slot, conn));
+        if let Some(mut socket) = token.and_then(|token| self.sockets.remove(&token)) {
+            let _ = self.poll.registry().deregister(&mut socket.stream); // it ends now in any case
+        }
+    }
+
+    /// Who asks for what comes after a version has it in force.
+    fn note_in_force(&mut self, slot: usize, bytes: &[u8]) {
+        let Ok(Some((watch, _))) = servers::watch(bytes) else { return };
+        let (first, own) = (self.first, &mut self.slots[slot]);
+        if watch.since > own.version {
+            let at = unix_now();
+            let new = own.version + 1..=watch.since;
+            self.in_force.extend(new.map(|version| InForce { front_door: first + slot, version, at }));
+            own.version = watch.since;
         }
     }
 
@@ -165,7 +285,8 @@
             return; // it was put off since
         }
         self.slots[slot].step_at = f64::INFINITY;
-        let (next, actions) = self.slots[slot].front_door.step(now);
+        let Some(front_door) = &mut self.slots[slot].front_door else { return };
+        let (next, actions) = front_door.step(now);
         for action in actions {
             self.carry_out(slot, action);
         }
@@ -175,41 +296,42 @@
     }
 
     fn carry_out(&mut self, slot: usize, action: Action) {
-        let now = self.agenda.now;
+        let (now, start) = (self.agenda.now, self.slots[slot].starts);
         match action {
             Action::Dial(conn @ Conn::Backend(_), _) => {
-                self.agenda.put(now + 2.0 * LATENCY, Item::Up(slot, conn));
+                self.agenda.put(now + 2.0 * LATENCY, Item::Up(Port { slot, start, conn }));
             }
             Action::Dial(conn, to) => {
                 if self.dial(slot, conn, to).is_err() {
-                    self.slots[slot].front_door.ended(conn, Why::Refused);
-                    self.wake(slot, now);
+                    self.reach(slot, |front_door| front_door.ended(conn, Why::Refused));
                 }
             }
             Action::Send(conn @ Conn::Backend(_), bytes) => {
                 // A front door writes whole commands, one or more.
                 let mut rest = &bytes[..];
                 while let Ok(Some((reply, n))) = servers::invoke(rest) {
-                    self.agenda.put(now + 2.0 * LATENCY + SERVICE, Item::Receive(slot, conn, reply));
+                    let item = Item::Receive(Port { slot, start, conn }, reply);
+                    self.agenda.put(now + 2.0 * LATENCY + SERVICE, item);
                     rest = &rest[n..];
                 }
             }
             Action::Send(conn, bytes) => {
-                let Some(token) = self.tokens.get(&(slot, conn)).copied() else { return };
-                if let Some(socket) = self.sockets.get_mut(&token) {
-                    socket.output.extend_from_slice(&bytes);
-                }
-                if self.flush(token).is_err() {
-                    self.end(token, Why::Reset);
-                }
-            }
-            Action::Close(conn) => {
-                let token = self.tokens.remove(&(slot, conn));
-                if let Some(mut socket) = token.and_then(|token| self.sockets.remove(&token)) {
-                    let _ = self.poll.registry().deregister(&mut socket.stream);
-                    // it ends now in any case
+                if matches!(conn, Conn::List(_)) {
+                    self.note_in_force(slot, &bytes);
                 }
+                self.send(slot, conn, &bytes);
             }
+            Action::Close(conn) => self.close(slot, conn),
+        }
+    }
+
+    fn send(&mut self, slot: usize, conn: Conn, bytes: &[u8]) {
+        let Some(token) = self.tokens.get(&(slot, conn)).copied() else { return };
+        if let Some(socket) = self.sockets.get_mut(&token) {
+            socket.output.extend_from_slice(bytes);
+        }
+        if self.flush(token).is_err() {
+            self.end(token, Why::Reset);
         }
     }
 
@@ -233,7 +355,8 @@
             match (socket.stream.take_error(), socket.stream.peer_addr()) {
                 (Ok(None), Ok(_)) => {
                     socket.up = true;
-                    self.slots[slot].front_door.connected(socket.conn);
+                    let conn = socket.conn;
+                    self.reach(slot, |front_door| front_door.connected(conn));
                 }
                 (Ok(None), Err(e)) if e.kind() == ErrorKind::NotConnected => return,
                 _ => return self.end(token, Why::Refused),
@@ -254,7 +377,10 @@
         while let Some(socket) = self.sockets.get_mut(&token) {
             match socket.stream.read(&mut self.scratch) {
                 Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
-                Ok(n) => self.slots[socket.slot].front_door.received(socket.conn, &self.scratch[..n]),
+                Ok(n) => {
+                    let front_door = &mut self.slots[socket.slot].front_door;
+                    front_door.iter_mut().for_each(|f| f.received(socket.conn, &self.scratch[..n]));
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
@@ -283,7 +409,6 @@
         let Some(mut socket) = self.sockets.remove(&token) else { return };
         let _ = self.poll.registry().deregister(&mut socket.stream); // it ends now in any case
         self.tokens.remove(&(socket.slot, socket.conn));
-        self.slots[socket.slot].front_door.ended(socket.conn, why);
-        self.wake(socket.slot, self.agenda.now);
+        self.reach(socket.slot, |front_door| front_door.ended(socket.conn, why));
     }
 }
--- a/load/src/scale/operator_file.rs
+++ b/load/src/scale/operator_file.rs
@@ -15,7 +15,11 @@
     for route in 0..point.routes {
         let tenants = (0..each).map(|n| (route * each + n) % point.tenants);
         let named: Vec<String> = tenants.map(|tenant| format!("\"{tenant:016x}\"")).collect();
-        let _ = write!(text, "\n[[route]]\ncustomers = [{}]\nclass = \"two tries\"\n", named.join(", "));
+        let _ = write!(
+            text,
+            "\n[[route]]\noperations = [\"look\"]\ncustomers = [{}]\nclass = \"two tries\"\n",
+            named.join(", ")
+        );
     }
     Some(text)
 }
--- a/load/src/scale/point.rs
+++ b/load/src/scale/point.rs
@@ -76,6 +76,8 @@
 const PLANS: usize = 16;
 /// Seconds of its quota that a tenant may have at once, as the emulator's plans have it.
 const BURST_SECONDS: f64 = 2.0;
+/// Units that any tenant may have at once: a request of one unit fits.
+const LEAST_BURST: f64 = 2.0;
 /// The slowest that a backend of these runs answers, seconds.
 pub const SERVICE: f64 = 0.005;
 
@@ -86,7 +88,7 @@
 
 /// Units that a plan allows at once.
 pub fn burst(plan: usize) -> f64 {
-    quota(plan) * BURST_SECONDS
+    (quota(plan) * BURST_SECONDS).max(LEAST_BURST)
 }
 
 /// The name of a plan in the settings.
--- a/load/src/scale/stand_ins.rs
+++ b/load/src/scale/stand_ins.rs
@@ -6,6 +6,7 @@
 use super::process::own_loopback;
 use super::servers;
 use super::tally::{Role, Tallies};
+use crate::stage::held;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Registry, Token};
 use quillramp_gateway::wire::Broken;
@@ -13,8 +14,8 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::io::{ErrorKind, Read, Write};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -35,6 +36,14 @@
     Listed,
 }
 
+/// Changes of the list that were asked for, and when each was written.
+#[derive(Default)]
+struct Changes {
+    wanted: AtomicUsize,
+    /// Unix time in seconds, from version 2 on.
+    written: Mutex<Vec<f64>>,
+}
+
 /// Stand-ins that serve until this is dropped.
 pub struct StandIns {
     pub counter: SocketAddr,
@@ -42,6 +51,7 @@
     /// Bytes of the whole list, as the list service writes it.
     pub list_bytes: usize,
     pub tallies: Arc<Tallies>,
+    changes: Arc<Changes>,
     stop: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
@@ -71,6 +81,7 @@
         let others = (absent > 0.0 && !point.alone).then_some(absent);
         let (tallies, stop) = (Arc::new(Tallies::default()), Arc::new(AtomicBool::new(false)));
         let first_connection = listeners.len();
+        let changes = Arc::new(Changes::default());
         let event_loop = EventLoop {
             poll,
             listeners,
@@ -82,12 +93,25 @@
             due: BinaryHeap::new(),
             tallies: tallies.clone(),
             scratch: vec![0; SCRATCH],
+            changes: changes.clone(),
             change_every: (point.changes > 0.0).then(|| Duration::from_secs_f64(1.0 / point.changes)),
         };
         let stopped = stop.clone();
         let thread = std::thread::spawn(move || event_loop.run(&stopped));
         let (counter, list) = (addresses[0], addresses[1]);
-        Ok(StandIns { counter, list, list_bytes, tallies, stop, thread: Some(thread) })
+        Ok(StandIns { counter, list, list_bytes, tallies, changes, stop, thread: Some(thread) })
+    }
+}
+
+impl StandIns {
+    /// Changes the list once more, within a moment.
+    pub fn change(&self) {
+        self.changes.wanted.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// When each version of the list was written, from version 2 on; Unix time in seconds.
+    pub fn written(&self) -> Vec<f64> {
+        held(&self.changes.written).clone()
     }
 }
 
@@ -133,6 +157,7 @@
     due: BinaryHeap<Reverse<(Instant, Token, Vec<u8>)>>,
     tallies: Arc<Tallies>,
     scratch: Vec<u8>,
+    changes: Arc<Changes>,
     change_every: Option<Duration>,
 }
 
@@ -153,8 +178,9 @@
             let now = Instant::now();
             if let Some(every) = self.change_every.filter(|every| now >= change + *every) {
                 change += every;
-                self.discovery.change();
+                self.changes.wanted.fetch_add(1, Ordering::Relaxed);
             }
+            self.change();
             self.answer_watches(now);
             self.answer_backends(now);
             if now >= expire {
@@ -249,6 +275,15 @@
         Ok(used)
     }
 
+    /// Writes the changes that were asked for since it last looked.
+    fn change(&mut self) {
+        let mut written = held(&self.changes.written);
+        while written.len() < self.changes.wanted.load(Ordering::Relaxed) {
+            self.discovery.change();
+            written.push(unix_now());
+        }
+    }
+
     /// Answers watches for which there is news, or whose time is over.
     fn answer_watches(&mut self, now: Instant) {
         let version = self.discovery.version();
