Revert the shorter list watch and the calls that do not wait: they crowd a service that has to be asked

More calls, kept open longer, by all front doors at the same pace: the service turned most of them away.

--- a/gateway/src/memory/list.rs
+++ b/gateway/src/memory/list.rs
@@ -7,17 +7,14 @@
 use quillramp::types::*;
 use std::collections::HashSet;
 
-/// How long a watch waits for news, seconds. Nothing is learnt over a connection that has gone mute until its answer is
-/// overdue, so this is the longest summand of every chain of retries in docs/list-service.md; all of them stay under 6 s.
-const WATCH_WAIT: f64 = 2.0;
-/// How much longer than the wait an answer may take, seconds. Then the list is asked for anew by a call that does not
-/// wait, on a new connection: what a silent service learns at its return counts as told at once, so a call is always out.
-const ANSWER_GRACE: f64 = 0.4;
-/// The pause after a connection that was refused or ended without an answer, seconds.
-const RECONNECT_PAUSE: f64 = 0.2;
-/// How much longer an overdue connection is kept beside the new ones, seconds: a service that takes up to `ANSWER_GRACE`
-/// and this for an answer is heard, whichever connections went mute before (docs/list-service.md).
-const OVERDUE_KEPT: f64 = 2.0;
+/// How long a watch waits: so long at the most nothing is learnt over a connection that has gone mute, for its answer,
+/// with news or without, is due by then. What a mute one misses counts as told 6 s after it fell silent.
+const WATCH: f64 = 5.0;
+/// How much longer an answer may take. Then it is asked anew by a call that does not wait, on a new connection: what a
+/// service that was silent learns at its return counts as told at once, so a call is always out.
+const OVERRUN: f64 = 0.4;
+/// Where such a call's connection is refused, or ends without an answer, it is made again after this.
+const SOON: f64 = 0.2;
 
 impl Reducer {
     pub(super) fn listed(&mut self, now: f64, list: &Listing) {
@@ -85,7 +82,7 @@
 
     /// The list service is elsewhere now: all of what it has there, then watched on.
     pub(super) fn list_moved(&mut self, now: f64) {
-        self.close_overdue(Why::Moved);
+        self.no_patient(Why::Moved);
         if let Some(old) = self.list.take() {
             self.close(Conn::List(old), Why::Moved);
         }
@@ -94,102 +91,96 @@
     }
 
     pub(super) fn next_watch(&self) -> Request {
-        let wait_ms = if self.list_mute { 1 } else { (WATCH_WAIT * 1e3) as u64 };
+        let wait_ms = if self.list_mute { 1 } else { (WATCH * 1e3) as u64 };
         self.index.map_or(Request::List, |since| Request::Watch { since, wait_ms })
     }
 
     pub(super) fn watch_until(&mut self, now: f64, id: u64) {
         self.timers.remove(&self.watch_ends);
         // The whole list is not waited for either.
-        let waits = if self.list_mute || self.index.is_none() { 0.0 } else { WATCH_WAIT };
-        self.watch_ends = self.at(now + waits + ANSWER_GRACE, Due::Watch(id));
+        let waits = if self.list_mute || self.index.is_none() { 0.0 } else { WATCH };
+        self.watch_ends = self.at(now + waits + OVERRUN, Due::Watch(id));
     }
 
     /// No answer by when one was due, not even that nothing is new: the connection may be mute, the service be well, or
-    /// be slow. So it is asked anew at once, and the overdue connection is kept a while: its answer still counts.
+    /// be slow. So it is asked anew at once, and one mute connection is kept a while: its answer still counts.
     pub(super) fn watch_mute(&mut self, now: f64, id: u64) {
         if self.list != Some(id) {
             return;
         }
-        while let Some((mute, _)) = self.overdue.pop_front_if(|(_, until)| now >= *until) {
-            self.close(Conn::List(mute), Why::Silent);
+        if self.patient.is_some_and(|(_, until)| now >= until) {
+            self.no_patient(Why::Silent);
+        }
+        if self.patient.is_none() {
+            self.patient = Some((id, now + WATCH));
+        } else {
+            self.close(Conn::List(id), Why::Silent);
         }
-        self.overdue.push_back((id, now + OVERDUE_KEPT));
         self.list_mute = true;
         self.watch(now);
     }
 
-    /// Ends the overdue connections, whose answers would still have counted.
-    fn close_overdue(&mut self, why: Why) {
-        for (id, _) in std::mem::take(&mut self.overdue) {
+    /// Ends the mute connection whose answer would still have counted.
+    fn no_patient(&mut self, why: Why) {
+        if let Some((id, _)) = self.patient.take() {
             self.close(Conn::List(id), why);
         }
     }
 
     /// A connection to the list service ended.
     pub(super) fn watch_ended(&mut self, now: f64, id: u64) {
-        self.overdue.retain(|(overdue, _)| *overdue != id);
+        self.patient = self.patient.filter(|(patient, _)| *patient != id);
         if self.list == Some(id) {
             self.list = None;
             if std::mem::replace(&mut self.list_mute, true) {
-                self.timers.remove(&self.ask_again);
-                self.ask_again = self.at(now + RECONNECT_PAUSE, Due::Ask);
+                self.at(now + SOON, Due::Ask);
             } else {
                 self.watch(now);
             }
         }
     }
 
-    /// Something has come from the list service, if it is for us. The first list is taken, whichever connection it comes
-    /// on; the others end, for what comes there later is older.
+    /// Something has come from the list service: what it is, if it is for us. The first answer is taken, whichever
+    /// connection it comes on; the other one ends, for what comes there later is older.
     pub(super) fn list_says(&mut self, now: f64, id: u64, response: Response) {
-        let awaited = self.list == Some(id) || self.overdue.iter().any(|(overdue, _)| *overdue == id);
-        if !awaited {
-            return;
+        if self.patient.is_some_and(|(patient, _)| patient == id) {
+            self.patient = None;
+            if let Some(asked) = self.list.replace(id) {
+                self.close(Conn::List(asked), Why::Silent);
+            }
         }
-        match list_of(&response) {
-            Ok(list) => self.list_arrived(now, id, &list, response.last),
-            Err(why) => self.list_failed(now, id, why),
+        if self.list == Some(id) {
+            self.no_patient(Why::Silent);
+            self.watched(now, id, response);
         }
     }
 
-    fn list_arrived(&mut self, now: f64, id: u64, list: &Listing, last: bool) {
-        self.overdue.retain(|(overdue, _)| *overdue != id);
-        if let Some(asked) = self.list.replace(id).filter(|asked| *asked != id) {
-            self.close(Conn::List(asked), Why::Silent);
-        }
-        self.close_overdue(Why::Silent);
+    fn watched(&mut self, now: f64, id: u64, response: Response) {
+        let list = (response.status == 200).then(|| listing::decode(&response.body));
         self.list_mute = false;
-        self.listed(now, list);
-        if last {
-            self.close(Conn::List(id), Why::Closed);
-            self.watch(now);
-        } else {
-            self.effects.push(Effect::Request(Conn::List(id), self.next_watch()));
-            self.watch_until(now, id);
-        }
-    }
-
-    /// An answer that is no list ends its own connection only: the overdue ones may still bring a list, so may the one that
-    /// was asked after them.
-    fn list_failed(&mut self, now: f64, id: u64, why: String) {
-        self.effects.push(Effect::Log(format!("list service: {why}")));
-        self.close(Conn::List(id), Why::BadFraming);
-        self.overdue.retain(|(overdue, _)| *overdue != id);
-        // The next call does not wait: over a mute connection a watch would add its wait to the pause.
-        self.list_mute = true;
-        if self.list == Some(id) {
-            self.list = None;
-            self.door.unlisted(now);
+        match list {
+            Some(Ok(list)) if !response.last => {
+                self.listed(now, &list);
+                self.effects.push(Effect::Request(Conn::List(id), self.next_watch()));
+                self.watch_until(now, id);
+            }
+            Some(Ok(list)) => {
+                self.listed(now, &list);
+                self.close(Conn::List(id), Why::Closed);
+                self.watch(now);
+            }
+            other => {
+                let why =
+                    other.and_then(Result::err).unwrap_or_else(|| format!("status {}", response.status));
+                self.effects.push(Effect::Log(format!("list service: {why}")));
+                self.close(Conn::List(id), Why::BadFraming);
+                self.watch_failed(now);
+            }
         }
     }
-}
 
-/// The list in a response of the list service, or why there is none.
-fn list_of(response: &Response) -> Result<Listing, String> {
-    if response.status == 200 {
-        listing::decode(&response.body)
-    } else {
-        Err(format!("status {}", response.status))
+    fn watch_failed(&mut self, now: f64) {
+        self.list = None;
+        self.door.unlisted(now);
     }
 }
--- a/gateway/src/memory/reducer.rs
+++ b/gateway/src/memory/reducer.rs
@@ -61,12 +61,9 @@
     pub(super) counter_calls: u64,
     pub(super) list: Option<u64>,
     pub(super) watch_ends: Timer,
-    /// When the list service is asked again after a connection that ended unanswered.
-    pub(super) ask_again: Timer,
-    /// The last call to the list service failed or went unanswered. Then the connections to it that may still answer, the
-    /// oldest first, and until when each is kept.
+    /// The list service has not answered when an answer was due; a mute connection to it that may still, and until when.
     pub(super) list_mute: bool,
-    pub(super) overdue: VecDeque<(u64, f64)>,
+    pub(super) patient: Option<(u64, f64)>,
     /// The version of the list that is known here; none where it was another service's.
     pub(super) index: Option<u64>,
     pub(super) conns: u64,
@@ -118,9 +115,8 @@
             counter_calls: 0,
             list: None,
             watch_ends: (0, 0),
-            ask_again: (0, 0),
             list_mute: false,
-            overdue: VecDeque::new(),
+            patient: None,
             index: None,
             conns: 0,
             timers: BTreeMap::new(),
--- a/gateway/src/memory/room.rs
+++ b/gateway/src/memory/room.rs
@@ -34,7 +34,7 @@
 
 impl Reducer {
     pub(super) fn descriptors(&self) -> usize {
-        self.clients.len() + self.links.len() + self.counters.len() + 1 + self.overdue.len()
+        self.clients.len() + self.links.len() + self.counters.len() + 1 + usize::from(self.patient.is_some())
     }
 
     /// No descriptor is left for one more connection.
--- a/gateway/tests/reducer.rs
+++ b/gateway/tests/reducer.rs
@@ -710,11 +710,9 @@
         2.000 log: drained by hand: ending connections
         2.000 keep Drained(true)
         2.000 operator 6: 200 done
-        2.400 connect List(9) to 127.0.0.1:7002
         2.400 log: told to stop: serving on, then ending connections
         2.600 log: connection operator 4 ended: called
         2.600 log: connection operator 5 ended: called
-        2.800 connect List(10) to 127.0.0.1:7002
         2.900 stop accepting
         2.900 part with client 1 if it is quiet
         2.900 part with client 4 if it is quiet
@@ -767,8 +765,6 @@
         0.790 log: connection backend 5 s-b ended: dial-timeout
         0.790 client 1: -BUSY 500
         0.790 part with client 1 if it is quiet
-        2.400 connect List(7) to 127.0.0.1:7002
-        2.800 connect List(8) to 127.0.0.1:7002
         3.100 client 3: +PONG
         3.100 part with client 3 if it is quiet
         3.100 log: connection client 3 ended: stopping
@@ -903,73 +899,49 @@
         let response = Response { status: 200, body: none.into(), last: false };
         Event::Response(Conn::List(id), response)
     };
-    b.event(Event::Up(Conn::List(1))).until(2.5).event(Event::Up(Conn::List(2))).event(answer(2));
-    b.until(4.0).ended(Conn::List(2), Why::Reset, false).event(Event::Up(Conn::List(3))).event(answer(3));
+    b.event(Event::Up(Conn::List(1))).until(5.5).event(Event::Up(Conn::List(2))).event(answer(2));
+    b.until(7.0).ended(Conn::List(2), Why::Reset, false).event(Event::Up(Conn::List(3))).event(answer(3));
     // Nobody there: a call is out at any time, however long that lasts.
-    b.until(5.0).ended(Conn::List(3), Why::Reset, false);
+    b.until(8.0).ended(Conn::List(3), Why::Reset, false);
     for id in 4..8 {
         b.ended(Conn::List(id), Why::Refused, false);
         let next = b.now - 1000.0 + 0.25;
         b.until(next);
     }
-    b.until(9.0);
+    b.until(12.0);
     b.is(expect![[r#"
         0.000 List(1): watch since 41
-        2.400 connect List(2) to 127.0.0.1:7002
-        2.500 List(2): since 41, at once
-        2.500 log: connection list 1 ended: silent
-        2.500 List(2): watch since 41
-        4.000 log: connection list 2 ended: reset
-        4.000 connect List(3) to 127.0.0.1:7002
-        4.000 List(3): since 41, at once
-        4.000 List(3): watch since 41
-        5.000 log: connection list 3 ended: reset
-        5.000 connect List(4) to 127.0.0.1:7002
-        5.000 log: connection list 4 ended: refused
-        5.200 connect List(5) to 127.0.0.1:7002
-        5.250 log: connection list 5 ended: refused
-        5.450 connect List(6) to 127.0.0.1:7002
-        5.500 log: connection list 6 ended: refused
-        5.700 connect List(7) to 127.0.0.1:7002
-        5.750 log: connection list 7 ended: refused
-        5.950 connect List(8) to 127.0.0.1:7002
-        6.350 connect List(9) to 127.0.0.1:7002
-        6.750 connect List(10) to 127.0.0.1:7002
-        7.150 connect List(11) to 127.0.0.1:7002
-        7.550 connect List(12) to 127.0.0.1:7002
-        7.950 connect List(13) to 127.0.0.1:7002
-        8.350 connect List(14) to 127.0.0.1:7002
-        8.750 log: connection list 8 ended: silent
-        8.750 connect List(15) to 127.0.0.1:7002
-    "#]]);
-}
-
-/// Guards: only one overdue connection was kept, for 5 s, and each later one left after 0.4 s: behind a mute one a service that
-/// needed longer was not heard. The first answer counts, on whichever connection, and the others end.
-#[test]
-fn an_answer_on_an_overdue_connection_counts_and_ends_the_others() {
-    let mut b = bench();
-    let none = r#"{"index":41,"snapshot":false,"endpoints":[]}"#;
-    let answer = Response { status: 200, body: none.into(), last: false };
-    b.event(Event::Up(Conn::List(1))).until(2.5).event(Event::Up(Conn::List(2)));
-    b.until(4.7).event(Event::Response(Conn::List(2), answer));
-    b.until(5.0);
-    b.is(expect![[r#"
-        0.000 List(1): watch since 41
-        2.400 connect List(2) to 127.0.0.1:7002
-        2.500 List(2): since 41, at once
-        2.800 connect List(3) to 127.0.0.1:7002
-        3.200 connect List(4) to 127.0.0.1:7002
-        3.600 connect List(5) to 127.0.0.1:7002
-        4.000 connect List(6) to 127.0.0.1:7002
-        4.400 connect List(7) to 127.0.0.1:7002
-        4.700 log: connection list 7 ended: silent
-        4.700 log: connection list 1 ended: silent
-        4.700 log: connection list 3 ended: silent
-        4.700 log: connection list 4 ended: silent
-        4.700 log: connection list 5 ended: silent
-        4.700 log: connection list 6 ended: silent
-        4.700 List(2): watch since 41
+        5.400 connect List(2) to 127.0.0.1:7002
+        5.500 List(2): since 41, at once
+        5.500 log: connection list 1 ended: silent
+        5.500 List(2): watch since 41
+        7.000 log: connection list 2 ended: reset
+        7.000 connect List(3) to 127.0.0.1:7002
+        7.000 List(3): since 41, at once
+        7.000 List(3): watch since 41
+        8.000 log: connection list 3 ended: reset
+        8.000 connect List(4) to 127.0.0.1:7002
+        8.000 log: connection list 4 ended: refused
+        8.200 connect List(5) to 127.0.0.1:7002
+        8.250 log: connection list 5 ended: refused
+        8.450 connect List(6) to 127.0.0.1:7002
+        8.500 log: connection list 6 ended: refused
+        8.700 connect List(7) to 127.0.0.1:7002
+        8.750 log: connection list 7 ended: refused
+        8.950 connect List(8) to 127.0.0.1:7002
+        9.350 connect List(9) to 127.0.0.1:7002
+        9.750 log: connection list 9 ended: silent
+        9.750 connect List(10) to 127.0.0.1:7002
+        10.150 log: connection list 10 ended: silent
+        10.150 connect List(11) to 127.0.0.1:7002
+        10.550 log: connection list 11 ended: silent
+        10.550 connect List(12) to 127.0.0.1:7002
+        10.950 log: connection list 12 ended: silent
+        10.950 connect List(13) to 127.0.0.1:7002
+        11.350 log: connection list 13 ended: silent
+        11.350 connect List(14) to 127.0.0.1:7002
+        11.750 log: connection list 14 ended: silent
+        11.750 connect List(15) to 127.0.0.1:7002
     "#]]);
 }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -46,7 +46,7 @@
 const TELLS: f64 = 0.5; // of what a door hears, it tells
 const SAY: f64 = 0.1; // of the burst: less room is news to the customer's other doors
 const STALL: f64 = 0.1; // our own timers so late: the door stood still
-const LIST_AGAIN: (f64, f64) = (0.5, 2.0); // after a list call that failed: first, doubling up to; give or take half
+const LIST_AGAIN: f64 = 2.0; // after a list call that failed, give or take half
 const SCANNED: usize = 256; // so many backends are looked at one by one; of more, so many drawn at random
 const DRAWN: usize = 32; // (0.23 us each, docs/CAPACITY.md: 7 us of the 104 us of processor that a request may take)
 const SOON: f64 = 2.0; // one that came back by hand is tried within so long, not by all doors at once
@@ -82,7 +82,6 @@
     again: BTreeSet<Inv>,
     idle: Vec<Customer>,
     timers: Timers,
-    list: ListRetry,
     errands: Errands,
 }
 
@@ -108,13 +107,14 @@
         };
     }
 
+    // ======== facts
+
     /// The list, or what changed in it; `whole` replaces it, so what it lacks is gone.
     pub fn listed(&mut self, now: f64, whole: bool, entries: &[Listed]) {
         if self.backends.is_empty() {
             let first = (LIMIT.0 * entries.len() as f64 / self.doors).max(1.0); // the first sign of time
             (self.all.limit, self.store.heard, self.store.paced) = (first, now, now);
         }
-        self.list.failures = 0;
         self.backends.listed(now, whole, entries, self.hard.len());
     }
 
@@ -140,8 +140,8 @@
 
     /// The list could not be had, or broke off: it is asked for again, not by all doors at once.
     pub fn unlisted(&mut self, now: f64) {
-        let chance = self.chance();
-        self.timers.ring(self.list.failed(now, LIST_AGAIN.0, LIST_AGAIN.1, chance), Bell::List);
+        let at = now + LIST_AGAIN * (0.5 + self.chance());
+        self.timers.ring(at, Bell::List);
     }
 
     /// A peer had a backend aside and has an answer since, or has seen what a customer's count stands at.
@@ -232,7 +232,7 @@
             match bell {
                 Bell::Inv(inv) => drop(self.again.insert(inv)),
                 Bell::Customer(c) => self.lapse(now, c),
-                Bell::List => self.errands.ask_for_list |= self.list.is_due(now),
+                Bell::List => self.errands.ask_for_list = true,
             }
         }
         self.again.retain(|inv| self.invs.get(inv).is_some_and(|v| !v.closed));
@@ -252,6 +252,8 @@
         self.woke = now;
     }
 
+    // ======== the course of one invocation
+
     /// Quota first; then the next delivery, as far as the operation allows one.
     fn decide(&mut self, now: f64, inv: Inv) -> Verdict {
         if !self.invs[&inv].admitted {
--- a/src/state.rs
+++ b/src/state.rs
@@ -40,27 +40,6 @@
     }
 }
 
-/// Calls of the list service that failed on end, and when it is asked again.
-#[derive(Default)]
-pub struct ListRetry {
-    pub failures: i32,
-    again: f64,
-}
-
-impl ListRetry {
-    /// A call failed: the next one comes after a pause that doubles with each failure from the first up to the longest,
-    /// seconds, give or take half by chance. It takes the place of one that was due before.
-    pub fn failed(&mut self, now: f64, first: f64, longest: f64, chance: f64) -> f64 {
-        let pause = (first * 2f64.powi(self.failures)).min(longest);
-        self.failures += 1;
-        self.again = now + pause * (0.5 + chance);
-        self.again
-    }
-    pub fn is_due(&self, now: f64) -> bool {
-        now >= self.again
-    }
-}
-
 /// What is out at all backends together.
 #[derive(Default)]
 pub struct AllOut {
