--- a/lease/src/client.rs
+++ b/lease/src/client.rs
@@ -137,7 +137,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum LinkState {
-    /// No connection is needed, or the next attempt is at this time.
+    /// The next attempt is at this time, if something is to be sent or the last one failed: only a connection tells
+    /// that a shard is back, for requests end at once until then.
     Closed {
         retry_at: f64,
         failed: bool,
@@ -223,6 +224,7 @@
             ended: false,
         };
         let shard = self.owner(request.tenant);
+        self.advance(now, shard); // it may be time to try a shard again that was down
         let link = self.links.entry(shard).or_default();
         let down = matches!(link.state, LinkState::Closed { failed: true, .. });
         if down && part.want > 0.0 {
@@ -260,6 +262,9 @@
     /// The connection is gone, or never came up.
     pub fn disconnected(&mut self, now: f64, shard: ShardId) {
         let Some(link) = self.links.get_mut(&shard) else { return };
+        if matches!(link.state, LinkState::Closed { .. }) {
+            return;
+        }
         let failed = matches!(link.state, LinkState::Connecting { .. });
         link.attempts = link.attempts.wrapping_add(1);
         let key = [self.settings.front_door, u64::from(link.attempts)].map(u64::to_le_bytes).concat();
@@ -430,9 +435,10 @@
         let Some(link) = self.links.get_mut(&shard) else { return };
         link.end_overdue(now, &mut self.outputs);
         match link.state {
-            LinkState::Closed { retry_at, .. } if retry_at <= now && link.has_work() => {
+            LinkState::Closed { retry_at, failed } if retry_at <= now && (failed || link.has_work()) => {
                 let Some(address) = self.map.address(shard) else {
                     link.drop_all(&mut self.outputs);
+                    link.state = LinkState::Closed { retry_at: now, failed: false };
                     return;
                 };
                 link.state = LinkState::Connecting { since: now };
@@ -585,7 +591,7 @@
         let leaves = self.waiting.values().map(|pending| pending.leaves_at);
         let leaves = leaves.filter(|_| self.in_flight.is_none() && self.state == LinkState::Connected);
         let state = match self.state {
-            LinkState::Closed { retry_at, .. } => self.has_work().then_some(retry_at),
+            LinkState::Closed { retry_at, failed } => (failed || self.has_work()).then_some(retry_at),
             LinkState::Connecting { since } => Some(since + settings.connect_timeout),
             LinkState::Connected => None,
         };
--- a/lease/src/shard.rs
+++ b/lease/src/shard.rs
@@ -99,7 +99,8 @@
     map: ShardMap,
     next_map: Option<ShardMap>,
     former_maps: Vec<FormerMap>,
-    started_at: f64,
+    /// Buckets that are not known here count as empty then.
+    empty_at: f64,
     connections: BTreeMap<ConnectionId, Connection>,
     sessions: BTreeMap<u64, Session>,
     accounts: BTreeMap<TenantId, Account>,
@@ -115,15 +116,18 @@
 }
 
 impl Shard {
-    /// A shard that knows nothing yet. The map is used at once, also before its `active_at`: there is no other one.
+    /// A shard that knows nothing yet. The map is used at once, since there is no other one; before its `active_at` the
+    /// shard grants nothing, for owners under the former map may grant still.
     pub fn new(now: f64, settings: ShardSettings, map: ShardMap) -> Result<Shard, MapError> {
         check(&settings, &map)?;
+        let at_once = settings.breaks == Some(Break::IgnoreActiveAt);
+        let empty_at = if at_once { now } else { now.max(map.active_at) };
         Ok(Shard {
             settings,
             map,
             next_map: None,
             former_maps: vec![],
-            started_at: now,
+            empty_at,
             connections: BTreeMap::new(),
             sessions: BTreeMap::new(),
             accounts: BTreeMap::new(),
@@ -362,7 +366,8 @@
                 ShareState::unknown(least, configured, now, self.settings.breaks)
             }
         };
-        let bucket = Bucket::new(plan, share.share(), self.empty_at(tenant, plan.refill_time(), now), now);
+        let bucket =
+            Bucket::new(plan, share.share(), self.tenant_empty_at(tenant, plan.refill_time(), now), now);
         if share.is_waiting() {
             self.waiting.insert(tenant);
         }
@@ -378,12 +383,12 @@
     }
 
     /// Since when a bucket that is not known here has filled up: since the start, or since the tenant moved here.
-    fn empty_at(&self, tenant: TenantId, refill_time: f64, now: f64) -> f64 {
+    fn tenant_empty_at(&self, tenant: TenantId, refill_time: f64, now: f64) -> f64 {
         if self.settings.breaks == Some(Break::StartFull) {
             return now - refill_time;
         }
         let elsewhere = self.former_maps.iter().filter(|former| !self.owns(&former.map, tenant));
-        elsewhere.map(|former| former.ended_at).fold(self.started_at, f64::max)
+        elsewhere.map(|former| former.ended_at).fold(self.empty_at, f64::max)
     }
 
     fn activate_map(&mut self, now: f64) {
