quillramp-lease-shard: one shard on sockets, with tests on real processes

A bad map ends the start in a plain line; SIGHUP reads it again and the last good one stays on a bad one; SIGTERM ends cleanly.

Frames between shards of two processes have no test on sockets.

--- /dev/null
+++ b/lease/tests/sockets.rs
@@ -0,0 +1,297 @@
+//! Real processes on loopback: grants, a shard killed and replaced, a front door that sends again, maps read again.
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use quillramp_lease::client::{ClientSettings, LeaseClient, Outcome, Output, Request, Ticket};
+use quillramp_lease::map::ShardMap;
+use quillramp_lease::wire::{encode, Answer, Entry, Frame, FrameReader, VERSION};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_quillramp-lease-shard");
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A process that is ended with the test.
+struct Shard {
+    child: Child,
+    log: BufReader<ChildStderr>,
+}
+
+impl Drop for Shard {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Shard {
+    fn start(address: SocketAddr, map: &Path) -> Shard {
+        let mut child = Command::new(PROGRAM)
+            .args(["--listen", &address.to_string(), "--region", "north", "--id", "1", "--map"])
+            .arg(map)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let log = BufReader::new(child.stderr.take().expect("piped"));
+        let mut shard = Shard { child, log };
+        shard.wait_for("serves at");
+        shard
+    }
+
+    fn wait_for(&mut self, words: &str) -> String {
+        let mut seen = String::new();
+        while self.log.read_line(&mut seen).expect("a log") > 0 {
+            if seen.contains(words) {
+                return seen;
+            }
+        }
+        panic!("no '{words}' in: {seen}");
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).expect("it runs");
+    }
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
+}
+
+fn map_text(epoch: u32, address: SocketAddr, rate: f64) -> String {
+    format!(
+        "epoch = {epoch}\nactive_at = 0.0\n[[plan]]\nname = \"team\"\nrate = {rate:?}\nburst = 50.0\n\
+         [[region]]\nname = \"north\"\nshare = 1.0\n[[region.shard]]\nid = 1\naddress = \"{address}\"\n"
+    )
+}
+
+fn write_map(name: &str, text: &str) -> PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}.toml", std::process::id()));
+    std::fs::write(&path, text).expect("a folder for tests");
+    path
+}
+
+/// Drives a [`LeaseClient`] over one socket.
+struct FrontDoor {
+    client: LeaseClient,
+    stream: Option<TcpStream>,
+    started: Instant,
+}
+
+impl FrontDoor {
+    fn new(map: &str) -> FrontDoor {
+        let map = ShardMap::parse(map).expect("a good map");
+        let client = LeaseClient::new(ClientSettings::new(5, 1, "north"), map).expect("a good map");
+        FrontDoor { client, stream: None, started: Instant::now() }
+    }
+
+    fn now(&self) -> f64 {
+        1000.0 + self.started.elapsed().as_secs_f64()
+    }
+
+    fn ask(&mut self, want: f64) -> Outcome {
+        let deadline = self.now() + 5.0;
+        let request = Request { tenant: 9, plan: 0, want, spent: 0.0, deadline };
+        let ticket = self.client.request(self.now(), request);
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if let Some(outcome) = self.step(ticket) {
+                return outcome;
+            }
+        }
+        panic!("no reply");
+    }
+
+    fn step(&mut self, ticket: Ticket) -> Option<Outcome> {
+        let mut outcome = None;
+        for output in self.client.poll_outputs() {
+            match output {
+                Output::Connect { shard, address } => self.connect(shard, address),
+                Output::Send { shard, bytes } => {
+                    let sent = self.stream.as_mut().is_some_and(|stream| stream.write_all(&bytes).is_ok());
+                    if !sent {
+                        self.lose(shard);
+                    }
+                }
+                Output::Close { .. } => self.stream = None,
+                Output::Reply { ticket: ended, outcome: how } if ended == ticket => outcome = Some(how),
+                Output::Reply { .. } => {}
+            }
+        }
+        if outcome.is_none() {
+            self.read();
+            self.client.tick(self.now());
+        }
+        outcome
+    }
+
+    fn connect(&mut self, shard: u16, address: SocketAddr) {
+        match TcpStream::connect_timeout(&address, Duration::from_secs(1)) {
+            Ok(stream) => {
+                stream.set_read_timeout(Some(Duration::from_millis(5))).expect("a socket");
+                self.stream = Some(stream);
+                self.client.connected(self.now(), shard);
+            }
+            Err(_) => self.client.disconnected(self.now(), shard),
+        }
+    }
+
+    fn lose(&mut self, shard: u16) {
+        self.stream = None;
+        self.client.disconnected(self.now(), shard);
+    }
+
+    fn read(&mut self) {
+        let mut buffer = [0; 4096];
+        let Some(stream) = &mut self.stream else {
+            std::thread::sleep(Duration::from_millis(5));
+            return;
+        };
+        match stream.read(&mut buffer) {
+            Ok(0) => self.lose(1),
+            Ok(length) => self.client.receive(self.now(), 1, &buffer[..length]),
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(_) => self.lose(1),
+        }
+    }
+}
+
+fn granted(outcome: &Outcome) -> f64 {
+    match outcome {
+        Outcome::Granted { units, .. } => *units,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_shard_grants_and_one_in_its_place_starts_empty() {
+    let address = free_address();
+    let text = map_text(1, address, 25.0);
+    let map = write_map("replaced", &text);
+    let shard = Shard::start(address, &map);
+    let mut front_door = FrontDoor::new(&text);
+    std::thread::sleep(Duration::from_millis(2500)); // longer than a bucket takes to fill
+    assert_eq!(granted(&front_door.ask(40.0)), 40.0);
+    drop(shard);
+    let _shard = Shard::start(address, &map);
+    let began = Instant::now();
+    let units = granted(&front_door.ask(40.0));
+    let regained = 25.0 * (began.elapsed().as_secs_f64() + 1.0);
+    assert!(units <= regained, "{units} of at most {regained} that a new shard regained");
+    std::thread::sleep(Duration::from_millis(500));
+    assert!(granted(&front_door.ask(5.0)) > 0.0);
+}
+
+#[test]
+fn while_the_shard_is_gone_requests_end_and_later_ones_are_granted() {
+    let address = free_address();
+    let text = map_text(1, address, 100.0);
+    let map = write_map("gone", &text);
+    let shard = Shard::start(address, &map);
+    let mut front_door = FrontDoor::new(&text);
+    front_door.ask(1.0);
+    drop(shard);
+    // The first one may still be sent on the old connection, or wait for the new one to fail.
+    let outcomes = [front_door.ask(1.0), front_door.ask(1.0)];
+    assert!(outcomes.iter().all(|o| matches!(o, Outcome::Unreached | Outcome::Unanswered)), "{outcomes:?}");
+    let _shard = Shard::start(address, &map);
+    let until = Instant::now() + PATIENCE;
+    while !matches!(front_door.ask(1.0), Outcome::Granted { units, .. } if units > 0.0) {
+        assert!(Instant::now() < until, "never granted again");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn a_batch_sent_again_on_a_new_connection_gets_the_same_answer() {
+    let address = free_address();
+    let map = write_map("again", &map_text(1, address, 0.001));
+    let _shard = Shard::start(address, &map);
+    let entry = Entry { tenant: 9, plan: 0, spent: -2000, want: 700 };
+    let mut bytes = encode(&Frame::Hello { version: VERSION, front_door: 5, incarnation: 1, epoch: 1 });
+    bytes.extend(encode(&Frame::Batch { sequence: 1, entries: vec![entry] }));
+    for _ in 0..3 {
+        let mut stream = TcpStream::connect(address).expect("it serves");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+        stream.write_all(&bytes).expect("it reads");
+        assert_eq!(
+            read_frame(&mut stream),
+            grants(700, 13),
+            "twenty came back once, seven were granted once"
+        );
+    }
+}
+
+fn grants(granted: u32, room: u32) -> Frame {
+    Frame::Grants { sequence: 1, answers: vec![Answer::Granted { granted, room }] }
+}
+
+fn read_frame(stream: &mut TcpStream) -> Frame {
+    let mut reader = FrameReader::default();
+    let mut buffer = [0; 1024];
+    loop {
+        if let Some(frame) = reader.next_frame().expect("a frame") {
+            return frame;
+        }
+        let length = stream.read(&mut buffer).expect("an answer in time");
+        assert!(length > 0, "closed without an answer");
+        reader.extend(&buffer[..length]);
+    }
+}
+
+#[test]
+fn what_is_no_frame_ends_its_connection_alone() {
+    let address = free_address();
+    let text = map_text(1, address, 25.0);
+    let map = write_map("spoilt", &text);
+    let _shard = Shard::start(address, &map);
+    let mut stream = TcpStream::connect(address).expect("it serves");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+    stream.write_all(b"GET / HTTP/1.1\r\n\r\n").expect("it reads");
+    stream.shutdown(std::net::Shutdown::Write).expect("a socket");
+    assert_eq!(stream.read(&mut [0; 16]).unwrap_or(0), 0, "closed without a word");
+    assert!(matches!(FrontDoor::new(&text).ask(1.0), Outcome::Granted { .. }));
+}
+
+#[test]
+fn a_bad_map_at_the_start_is_a_plain_line_and_a_failure() {
+    let address = free_address();
+    let good = map_text(1, address, 25.0);
+    let cases = [
+        (good.replace("share = 1.0", "share = 0.5"), "north", "expected a sum of 1, found 0.5"),
+        (good.replace("epoch = 1", "epoch = one"), "north", "no shard map"),
+        (good.clone(), "west", "region 'west': not in the map"),
+        (good.replace("id = 1", "id = 4"), "north", "shard 1: not in region 'north' of the map"),
+    ];
+    for (index, (text, region, words)) in cases.iter().enumerate() {
+        let map = write_map(&format!("bad-{index}"), text);
+        let output = Command::new(PROGRAM)
+            .args(["--listen", &address.to_string(), "--region", region, "--id", "1", "--map"])
+            .arg(&map)
+            .output()
+            .expect("the program starts");
+        let log = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(1), "{log}");
+        assert!(log.contains(words) && log.lines().count() == 1, "{log}");
+    }
+}
+
+#[test]
+fn a_map_is_read_again_and_the_last_good_one_stays_on_a_bad_one() {
+    let address = free_address();
+    let map = write_map("again-map", &map_text(1, address, 25.0));
+    let mut shard = Shard::start(address, &map);
+    std::fs::write(&map, "nonsense").expect("a folder for tests");
+    shard.signal(Signal::SIGHUP);
+    shard.wait_for("the last good map stays");
+    std::fs::write(&map, map_text(1, address, 30.0)).expect("a folder for tests");
+    shard.signal(Signal::SIGHUP);
+    assert!(shard.wait_for("the last good map stays").contains("epoch 1: expected above 1"));
+    std::fs::write(&map, map_text(2, address, 30.0)).expect("a folder for tests");
+    shard.signal(Signal::SIGHUP);
+    shard.wait_for("map of epoch 2");
+    assert!(matches!(FrontDoor::new(&map_text(2, address, 30.0)).ask(1.0), Outcome::Granted { .. }));
+    shard.signal(Signal::SIGTERM);
+    assert_eq!(shard.child.wait().expect("it ends").code(), Some(0));
+}
