--- a/src/decide.rs
+++ b/src/decide.rs
@@ -398,7 +398,7 @@
         let (rich, room) = (room(regained - a.rate * (now - a.at)) > p.burst / 2.0, room(regained));
         // What the slice regained a rich store did too, or one of which nothing else spends. It is told soon or never.
         a.sliced = if rich || self.store.silent { a.sliced.min(most - a.slice) } else { a.sliced };
-        a.sliced *= f64::from(u8::from(often || self.store.silent));
+        a.sliced = if often || self.store.silent { a.sliced } else { 0.0 };
         let leasing = a.calls.iter().any(|c| matches!(c.what, Errand::Lease { .. }));
         // In silence, or where rich, a full slice below what is asked goes into debt: small quotas.
         let fits = a.slice >= if rich || self.store.silent { units.min(most) } else { units };
