--- a/gateway/src/state/mod.rs
+++ b/gateway/src/state/mod.rs
@@ -20,6 +20,7 @@
 pub mod descriptors;
 mod discovery;
 mod dispatch;
+mod drain;
 pub mod effect;
 pub mod event;
 pub mod framing;
