--- a/gateway/src/state/admission.rs
+++ b/gateway/src/state/admission.rs
@@ -70,8 +70,7 @@
         match self.admission.as_mut()?.admit_command(now, id, customer) {
             CommandVerdict::Accept => None,
             CommandVerdict::RetryAfter(seconds) => {
-                let retry_after_ms = self.instance.sends_retry_after.then(|| (seconds * 1e3).ceil() as u64);
-                Some(ClientReply::Busy { retry_after_ms })
+                Some(ClientReply::busy(self.instance.sends_retry_after.then_some(seconds)))
             }
         }
     }
--- a/gateway/src/state/broker.rs
+++ b/gateway/src/state/broker.rs
@@ -137,9 +137,8 @@
         match response.verdict {
             Verdict::Grant(grant) => Ok(Some(grant)),
             Verdict::RetryAfter { seconds, .. } => {
-                let retry_after_ms = (seconds.min(MAX_RETRY_AFTER_SECONDS) * 1e3).ceil() as u64;
-                let retry_after_ms = self.instance.sends_retry_after.then_some(retry_after_ms);
-                Err(ClientReply::Busy { retry_after_ms })
+                let retry_after = seconds.min(MAX_RETRY_AFTER_SECONDS);
+                Err(ClientReply::busy(self.instance.sends_retry_after.then_some(retry_after)))
             }
             Verdict::Deny(reason) => Err(denied_by_contract(reason)),
         }
--- a/gateway/src/state/decisions.rs
+++ b/gateway/src/state/decisions.rs
@@ -61,8 +61,7 @@
             Decision::Forward { backend } => self.start_attempt(now, request, backend),
             Decision::Pending => {}
             Decision::Throttle { retry_after } => {
-                let retry_after_ms = retry_after.map(|seconds| (seconds * 1e3).ceil() as u64);
-                self.answer_request(now, request, ClientReply::Busy { retry_after_ms });
+                self.answer_request(now, request, ClientReply::busy(retry_after));
             }
             Decision::Error => self.answer_request(now, request, ClientReply::Error("failed".into())),
         }
--- a/gateway/src/wire/resp/reply.rs
+++ b/gateway/src/wire/resp/reply.rs
@@ -48,6 +48,11 @@
 }
 
 impl ClientReply {
+    /// Returns the reply to a throttled request, which the client may send again after `retry_after` seconds.
+    pub fn busy(retry_after: Option<f64>) -> ClientReply {
+        ClientReply::Busy { retry_after_ms: retry_after.map(|seconds| (seconds * 1e3).ceil() as u64) }
+    }
+
     /// Appends the encoded reply to `out`.
     pub fn encode(&self, out: &mut Vec<u8>) {
         match self {
