Gateway tests: backends and operators' calls for tests in one place

Cause: a file of tests for shutdowns needs an unresponsive backend, a gateway with one backend and operators' calls, which stood in two other files. Change: moved to tests/common; each gateway under test has a directory of its own for what operators change. No assertion changed.

--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -116,6 +116,16 @@
     GatewayProcess::spawn(gateway_command(configuration).stderr(Stdio::piped()))
 }
 
+/// Returns the status code and the body of the response to an operator's call.
+pub fn admin_call(address: SocketAddr, request_line: &str) -> String {
+    let mut stream = connect_when_listening(address);
+    write!(stream, "{request_line} HTTP/1.1\r\nHost: x\r\n\r\n").expect("the gateway accepts input");
+    let mut response = String::new();
+    stream.read_to_string(&mut response).expect("the response is complete");
+    let status = response.split(' ').nth(1).unwrap_or("none").to_owned();
+    status + " " + response.split("\r\n\r\n").nth(1).unwrap_or("").trim()
+}
+
 /// Waits until all instances accept connections, and 200 ms more for their endpoint lists.
 pub fn wait_until_ready(addresses: &[SocketAddr]) {
     for address in addresses {
@@ -180,6 +190,42 @@
     ListedBackend { name, address }
 }
 
+/// Starts a backend that never replies; returns a channel that receives each complete command.
+pub fn unresponsive_backend(listener: TcpListener) -> Receiver<Vec<String>> {
+    let (sender, commands) = channel();
+    example_servers::serve_connections(listener, move |stream| {
+        let mut reader = BufReader::new(stream);
+        while let Some(items) = example_servers::read_command(&mut reader)? {
+            let _ = sender.send(items); // fails if the test is over
+        }
+        Ok(())
+    });
+    commands
+}
+
+/// Starts an instance with one backend in its initial endpoint list.
+pub fn gateway_with_backend(
+    name: &str,
+    address: SocketAddr,
+    change: impl Fn(String) -> String,
+) -> TestGateway {
+    let backend = ListedBackend { name: "a", address };
+    let (list_service, list_service_address) = free_listener();
+    serve_endpoints(list_service, &[backend]);
+    TestGateway::start(name, list_service_address, |configuration| {
+        change(with_initial_backends(&configuration, &[backend]))
+    })
+}
+
+pub fn unchanged(configuration: String) -> String {
+    configuration
+}
+
+pub fn send_request(client: &mut TcpStream, operation: &str, timeout_ms: u64) {
+    let request = example_servers::request(operation, timeout_ms);
+    client.write_all(request.as_bytes()).expect("the gateway accepts input");
+}
+
 /// Makes the process that this command starts run with a limit on its descriptors.
 pub fn limit_descriptors(command: &mut Command, limit: u64) {
     let set_limit = move || setrlimit(Resource::RLIMIT_NOFILE, limit, limit).map_err(std::io::Error::from);
@@ -230,7 +276,10 @@
         let configuration_file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("gateway-{name}.json"));
         std::fs::write(&configuration_file, change(configuration))
             .expect("the configuration file is written");
-        let mut process = start_gateway(&configuration_file);
+        // Operators' changes are saved in this directory.
+        let directory = empty_directory(&format!("gateway-{name}"));
+        let mut command = gateway_command(&configuration_file);
+        let mut process = GatewayProcess::spawn(command.env("TMPDIR", directory).stderr(Stdio::piped()));
         let (sender, log) = channel();
         let lines = BufReader::new(process.child.stderr.take().expect("standard error is a pipe")).lines();
         spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -4,7 +4,7 @@
 //! lists the races that are tested here and the others that were examined.
 use nix::sys::signal::Signal;
 use std::io::{BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::Arc;
@@ -14,8 +14,8 @@
 mod common;
 use common::example_servers::{self, read_command, read_target, request, serve_connections, write_ok};
 use common::{
-    endpoint_list, free_listener, read_reply, read_to_end, serve_endpoints, with_initial_backends,
-    FullBacklogBackend, ListedBackend, TestGateway, PING,
+    endpoint_list, free_listener, gateway_with_backend, read_reply, read_to_end, send_request,
+    serve_endpoints, unchanged, unresponsive_backend, FullBacklogBackend, ListedBackend, TestGateway, PING,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -23,33 +23,6 @@
 /// Reply of the example backend `a` to an `order`.
 const ORDER_REPLY: &str = "a order body";
 
-/// Starts a backend that never replies; returns a channel that receives each complete command.
-fn unresponsive_backend(listener: TcpListener) -> Receiver<Vec<String>> {
-    let (sender, commands) = channel();
-    serve_connections(listener, move |stream| {
-        let mut reader = BufReader::new(stream);
-        while let Some(items) = read_command(&mut reader)? {
-            let _ = sender.send(items); // fails if the test is over
-        }
-        Ok(())
-    });
-    commands
-}
-
-/// Starts an instance with one backend in its initial endpoint list.
-fn gateway_with_backend(name: &str, address: SocketAddr, change: impl Fn(String) -> String) -> TestGateway {
-    let backend = ListedBackend { name: "a", address };
-    let (list_service, list_service_address) = free_listener();
-    serve_endpoints(list_service, &[backend]);
-    TestGateway::start(name, list_service_address, |configuration| {
-        change(with_initial_backends(&configuration, &[backend]))
-    })
-}
-
-fn unchanged(configuration: String) -> String {
-    configuration
-}
-
 /// Returns the configuration with a long timeout for connecting to a backend.
 fn with_long_connect_timeout(configuration: String) -> String {
     configuration.replace("\"dial_timeout_us\": 250000", "\"dial_timeout_us\": 5000000")
@@ -61,10 +34,6 @@
     configuration.replace("\"aim_us\": 1000000", "\"aim_us\": 2900000")
 }
 
-fn send_request(client: &mut TcpStream, operation: &str, timeout_ms: u64) {
-    client.write_all(request(operation, timeout_ms).as_bytes()).expect("the gateway accepts input");
-}
-
 /// Closes a connection immediately. Dropping it is not enough: a process that another test is starting has a
 /// copy of the descriptor until its exec.
 fn close_immediately(connection: &TcpStream) {
--- a/gateway/tests/handover.rs
+++ b/gateway/tests/handover.rs
@@ -11,8 +11,8 @@
 
 mod common;
 use common::{
-    connect_when_listening, empty_directory, free_listener, gateway_command, process_state, unique_address,
-    wait_until, GatewayProcess, PING,
+    admin_call, empty_directory, free_listener, gateway_command, process_state, unique_address, wait_until,
+    GatewayProcess, PING,
 };
 
 /// Name of the file that the processes of one gateway instance share, in the directory that `TMPDIR` names.
@@ -91,16 +91,6 @@
     }
 }
 
-/// Returns the status code and the body of the response to an operator's call.
-fn admin_call(address: SocketAddr, request_line: &str) -> String {
-    let mut stream = connect_when_listening(address);
-    write!(stream, "{request_line} HTTP/1.1\r\nHost: x\r\n\r\n").expect("the gateway accepts input");
-    let mut response = String::new();
-    stream.read_to_string(&mut response).expect("the response is complete");
-    let status = response.split(' ').nth(1).unwrap_or("none").to_owned();
-    status + " " + response.split("\r\n\r\n").nth(1).unwrap_or("").trim()
-}
-
 fn ping(stream: &mut TcpStream) -> String {
     stream.write_all(PING).expect("the gateway accepts input");
     let mut reply = [0; 64];
