Replies of the last batch are written before the process exits

Cause: callers whose command arrived in the batch of events in which the process exits got no reply, and neither did requests that were answered in that batch: output is flushed after all effects, and Effect::ExitImmediately exited among them. Change: the effect marks the batch, and Driver::step exits after the flush.

--- a/gateway/src/sockets/driver.rs
+++ b/gateway/src/sockets/driver.rs
@@ -49,6 +49,8 @@
     pub closing: Vec<Arc<Connection>>,
     /// Earliest time of the process's exit, in seconds since 1970; the exit also waits for `closing`.
     pub exit_at: Option<f64>,
+    /// Whether the process exits once `written` is flushed, whatever is left.
+    pub exits_after_flush: bool,
 }
 
 /// The coroutine that runs the reducer and carries out its effects.
@@ -128,6 +130,9 @@
         for id in batch.written.drain(..) {
             self.connections.with(id, |connection| connection.flush());
         }
+        if batch.exits_after_flush {
+            exit();
+        }
         next_poll_at
     }
 
@@ -138,7 +143,7 @@
 }
 
 /// Flushes the log and exits the process.
-pub(super) fn exit() -> ! {
+fn exit() -> ! {
     tracing::info!("gateway stopped");
     logger::flush();
     std::process::exit(0)
--- a/gateway/src/sockets/effects.rs
+++ b/gateway/src/sockets/effects.rs
@@ -1,6 +1,6 @@
 //! Carries out the effects that the reducer returns.
 use super::connection::Connection;
-use super::driver::{exit, Batch, Driver};
+use super::driver::{Batch, Driver};
 use crate::state::connection::{CloseReason, ClosedConnection, ConnectionId};
 use crate::state::effect::Effect;
 use crate::state::event::Event;
@@ -47,7 +47,7 @@
             Effect::LogClosed(closed) => log_closed(&closed),
             Effect::StopAccepting => self.stop_accepting(),
             Effect::Exit => self.exit_after_flush(batch),
-            Effect::ExitImmediately => exit(),
+            Effect::ExitImmediately => batch.exits_after_flush = true,
         }
     }
 
--- a/gateway/src/state/effect.rs
+++ b/gateway/src/state/effect.rs
@@ -117,6 +117,6 @@
     StopAccepting,
     /// Exits once all write buffers have been sent.
     Exit,
-    /// Exits at once, without waiting for write buffers.
+    /// Exits after this batch. What its sockets do not accept of the output is lost.
     ExitImmediately,
 }
