A connection is closed only after its replies are written

Cause: callers that read slowly lost a request, and some of their replies: a drained or idle connection with output left to write counted as idle and was closed; what arrived until the output was written was read and discarded. Change: close_if_idle flushes, and leaves a connection with output open; Event::ClientOutputWritten has the reducer check it again.

--- a/gateway/src/sockets/connection/lifecycle.rs
+++ b/gateway/src/sockets/connection/lifecycle.rs
@@ -64,6 +64,7 @@
             reader: AtomicRefCell::new(MessageReader::new(id)),
             closed: AtomicBool::new(false),
             input_discarded: AtomicBool::new(false),
+            reports_written_output: AtomicBool::new(false),
             pending_commands: PendingCommands::default(),
             stream_source: StreamSource::new(),
             stream_target: StreamTarget::default(),
--- a/gateway/src/sockets/connection/mod.rs
+++ b/gateway/src/sockets/connection/mod.rs
@@ -60,6 +60,8 @@
     /// Set when further input is discarded. An operator's connection is shut down for writing after its
     /// response.
     input_discarded: AtomicBool,
+    /// Set when the reducer is to be notified once all output is written.
+    reports_written_output: AtomicBool,
     /// Commands of a client that have no reply yet.
     pending_commands: PendingCommands,
     /// For a backend's connection: the value that is streamed from it.
--- a/gateway/src/sockets/connection/writing.rs
+++ b/gateway/src/sockets/connection/writing.rs
@@ -1,6 +1,7 @@
 //! Writes a connection's buffered output to its socket.
 use super::{Connection, MAX_RETAINED_BUFFER_BYTES};
 use crate::state::connection::ConnectionId;
+use crate::state::event::Event;
 use std::io::{ErrorKind, Write};
 use std::net::Shutdown;
 use std::sync::atomic::Ordering;
@@ -28,6 +29,19 @@
         let unwritten = write_buffer.len();
         drop(write_buffer);
         self.stream_flushed(unwritten);
+        if unwritten == 0 && self.reports_written_output.swap(false, Ordering::Relaxed) {
+            let client = self.client_number() as u64;
+            self.context.events.push(Event::ClientOutputWritten(client));
+        }
+    }
+
+    /// Writes a client's buffered output; returns whether nothing is left. Otherwise `ClientOutputWritten`
+    /// follows when the rest is written.
+    pub fn flush_or_report_later(&self) -> bool {
+        self.flush();
+        let is_flushed = self.is_flushed();
+        self.reports_written_output.store(!is_flushed, Ordering::Relaxed);
+        is_flushed
     }
 
     /// Whether this is an operator's connection whose response is in the buffer or written.
--- a/gateway/src/sockets/effects.rs
+++ b/gateway/src/sockets/effects.rs
@@ -126,11 +126,13 @@
         self.context.events.push(Event::ConnectionEnded { connection: id, reason, unsent: false });
     }
 
-    /// Closes a client's connection unless it has unread input. Such input is read and answered first, after
-    /// which the reducer checks the connection again.
+    /// Closes a client's connection unless it has unread input or unwritten output. Such input is read and
+    /// answered first, and such output is written first, after which the reducer checks the connection again.
     fn close_if_idle(&self, client: u64, reason: CloseReason, batch: &mut Batch) {
         let id = ConnectionId::Client(client);
-        let idle = self.connections.with(id, |connection| !connection.has_unread_input());
+        let idle = self
+            .connections
+            .with(id, |connection| !connection.has_unread_input() && connection.flush_or_report_later());
         if idle == Some(true) {
             self.close(id, batch);
             self.context.events.push(Event::IdleClientClosed { client, reason });
--- a/gateway/src/state/dispatch.rs
+++ b/gateway/src/state/dispatch.rs
@@ -16,6 +16,7 @@
             Event::ClientCommand { client, command } => self.client_command(now, client, command),
             Event::BodyProgress { client, has_capacity } => self.body_progressed(now, client, has_capacity),
             Event::IdleClientClosed { client, reason } => self.idle_client_closed(client, reason),
+            Event::ClientOutputWritten(client) => self.client_output_written(client),
             Event::BackendReply { connection, reply, more_received } => {
                 self.backend_replied(now, connection, reply, more_received);
             }
--- a/gateway/src/state/drain.rs
+++ b/gateway/src/state/drain.rs
@@ -97,6 +97,13 @@
         }
     }
 
+    /// Checks a client again that could not be closed before all of its output was written.
+    pub(super) fn client_output_written(&mut self, id: u64) {
+        if self.shutdown.is_draining {
+            self.shutdown.closing_clients.insert(id);
+        }
+    }
+
     /// Removes a client whose connection was closed after `Effect::CloseIfIdle`.
     pub(super) fn idle_client_closed(&mut self, id: u64, reason: CloseReason) {
         if self.remove_client(id).is_some() {
--- a/gateway/src/state/effect.rs
+++ b/gateway/src/state/effect.rs
@@ -42,7 +42,7 @@
     /// Announces the maximum number of file descriptors that this process holds from now on; the other process of this
     /// instance may use the rest.
     AnnounceDescriptorLimit(usize),
-    /// Closes a client's connection unless unread bytes have arrived on it.
+    /// Closes a client's connection unless unread bytes have arrived on it, or output is still to be written.
     CloseIfIdle {
         /// The client's connection.
         client: u64,
--- a/gateway/src/state/event.rs
+++ b/gateway/src/state/event.rs
@@ -58,6 +58,8 @@
         /// The reason in that effect.
         reason: CloseReason,
     },
+    /// All output to this client has been written, which an `Effect::CloseIfIdle` had found unwritten.
+    ClientOutputWritten(u64),
     /// A client's command arrived.
     ClientCommand {
         /// The client's connection.
--- a/gateway/tests/reducer/shutdown.rs
+++ b/gateway/tests/reducer/shutdown.rs
@@ -296,3 +296,36 @@
         1.250 log: connection client 4 ended: stopping
     "#]]);
 }
+
+/// Returns a bench with a client whose `order` is in flight when the instance is to stop or drain; its timeout
+/// ends `timeout_ms` after that.
+fn bench_with_order_in_flight(timeout_ms: u64) -> Bench {
+    let mut bench = bench_configured(1024, false, true);
+    bench.client_connects(1);
+    send_in_flight(&mut bench, 1, 3, timeout_ms);
+    bench.trace.clear();
+    bench
+}
+
+/// Sends an `order` from this client, and reports its connection to a backend as established.
+fn send_in_flight(bench: &mut Bench, client: u64, backend_connection: u64, timeout_ms: u64) {
+    let arguments = format!("t=small,d={timeout_ms},units=1,spread=1,first=0");
+    bench.request_with(client, "order", "0000000000000005", &arguments);
+    let established_at = bench.now - 1000.0 + 0.05;
+    bench.run_until(established_at).backend_connected(backend_connection);
+}
+
+/// Guards against a connection that stays open after a drain: it could not be closed while replies to its client
+/// were still to be written.
+#[test]
+fn a_client_whose_replies_were_not_written_is_checked_again_once_they_are() {
+    let mut bench = bench_with_order_in_flight(3000);
+    bench.event(Event::Shutdown).backend_replies(3, "a").run_until(0.6).trace.clear();
+    bench.event(Event::ClientOutputWritten(1));
+    assert_trace_of_clients(
+        &mut bench,
+        expect![[r#"
+        0.600 close client 1 if idle
+    "#]],
+    );
+}
