Requests read behind a pending one are answered during a drain or shutdown

Cause: 1.5 s after SIGTERM or an operator's drain, Effect::StopReading had the input of each client with a pending reply read and discarded; the connection then counted as finished after that reply (stop_reading_busy_clients, Connection::discard_input). Change: from that moment on such requests are rejected in their turn, with the shortest Retry-After. The limit of 4 s after a drain, for which the input had been discarded, is kept by ending these connections 3.8 s after the call: the pending requests are answered, nothing more is read, and the connection closes after the replies to all that was read; a reset tells of what was not. The end of a drain serves these clients again. Log lines and rejected_while_draining in /stats tell rejected from lost. Shutdown, handover and drain share the code. Why it works: nothing that was read leaves the reducer without a reply, and CloseIfIdle closes a connection only with nothing read and undecided on it.

--- a/emulator/src/gateway_process/connection.rs
+++ b/emulator/src/gateway_process/connection.rs
@@ -19,7 +19,7 @@
     pub write_buffer: WriteBuffer,
     /// The client connection that a long value from this backend connection is streamed to.
     pub stream_to: Option<ConnectionId>,
-    /// Whether received bytes are no longer read.
+    /// Whether nothing more is read from the client's link.
     pub reading_stopped: bool,
     /// Time at which bytes of a long value were last streamed.
     pub stream_progress_at: f64,
--- a/emulator/src/gateway_process/effects.rs
+++ b/emulator/src/gateway_process/effects.rs
@@ -127,7 +127,8 @@
 
     fn close_if_idle(&mut self, ctx: &mut Context, client: u64, reason: CloseReason) {
         let id = ConnectionId::Client(client);
-        let all_read = self.connections.get(&id).is_some_and(|connection| connection.received.is_empty());
+        let is_read = |connection: &Connection| connection.reading_stopped || connection.received.is_empty();
+        let all_read = self.connections.get(&id).is_some_and(is_read);
         let has_queued_command = self
             .inbox
             .iter()
--- a/emulator/src/gateway_process/inbound.rs
+++ b/emulator/src/gateway_process/inbound.rs
@@ -89,11 +89,13 @@
             return;
         }
         let id = self.connection_on(ctx, link);
+        if id.is_some_and(|id| self.connections[&id].reading_stopped) {
+            // These bytes stay in the kernel. The rules allow a close over a request that was not read: it resets the connection, and the
+            // client sends the request again.
+            return;
+        }
         // For the checker, bytes from a client count as received when they reach the machine, even if the process has not read them.
-        // Connections that the process no longer reads are an exception: it may close them despite unread bytes, and the client retries
-        // on another connection.
-        let is_ignored = id.is_some_and(|id| self.connections[&id].reading_stopped);
-        if !is_ignored && ctx.links.get(&link).is_some_and(|link| link.remote == Remote::Client) {
+        if ctx.links.get(&link).is_some_and(|link| link.remote == Remote::Client) {
             ctx.checker.client_bytes_received(ctx.now, link, bytes);
         }
         if self.backlog.contains(&link) {
@@ -115,7 +117,7 @@
 
     /// Decodes all complete messages in the received bytes of a connection. Bytes that cannot be decoded end the connection.
     pub(super) fn decode(&mut self, ctx: &mut Context, id: ConnectionId) {
-        let Some(connection) = self.connections.get_mut(&id).filter(|c| !c.reading_stopped) else { return };
+        let Some(connection) = self.connections.get_mut(&id) else { return };
         let mut input = DecodedInput::default();
         let decoded = if connection.reader.discard {
             Ok(connection.received.len())
--- a/gateway/src/sockets/connection/lifecycle.rs
+++ b/gateway/src/sockets/connection/lifecycle.rs
@@ -63,7 +63,8 @@
             write_buffer: AtomicRefCell::default(),
             reader: AtomicRefCell::new(MessageReader::new(id)),
             closed: AtomicBool::new(false),
-            input_discarded: AtomicBool::new(false),
+            operator_answered: AtomicBool::new(false),
+            reading_stopped: AtomicBool::new(false),
             reports_written_output: AtomicBool::new(false),
             pending_commands: PendingCommands::default(),
             stream_source: StreamSource::new(),
@@ -106,23 +107,26 @@
         self.wake_stream_source(); // the source no longer has to wait for this client
     }
 
-    /// Discards further input, of an operator that has its response or of a client whose commands are no
-    /// longer accepted. Input is still read: unread bytes would hide the end of the connection, and would
-    /// turn a close into a reset that may discard replies which the peer has not read yet.
-    pub fn discard_input(&self) {
-        self.input_discarded.store(true, Ordering::Relaxed);
-        if self.is_client() {
-            self.reader.borrow_mut().discard = true;
-            self.waker.wakeup();
-        }
+    /// Records that an operator's response is in the write buffer.
+    pub fn mark_operator_answered(&self) {
+        self.operator_answered.store(true, Ordering::Relaxed);
+    }
+
+    /// Stops reading from a client's socket. Its end is noticed all the same, and the commands that were read
+    /// before are decoded. What the client sends from now on stays unread, so that our close resets the
+    /// connection and tells the client that this was not handled.
+    pub fn stop_reading(&self) {
+        self.reading_stopped.store(true, Ordering::Relaxed);
     }
 
-    /// Whether input, or its end, has arrived that is not read or not decoded yet.
+    /// Whether input, or its end, has arrived that is not read or not decoded yet. Input that will not be read
+    /// does not count.
     pub fn has_unread_input(&self) -> bool {
         let mut byte = [0];
         let is_empty = |result: Result<usize, Error>| matches!(result, Err(error) if error.kind() == ErrorKind::WouldBlock);
+        let is_read = !self.reading_stopped.load(Ordering::Relaxed);
         self.pending_commands.postponed.load(Ordering::Relaxed)
-            || !is_empty(self.stream.inner().peek(&mut byte))
+            || is_read && !is_empty(self.stream.inner().peek(&mut byte))
     }
 }
 
--- a/gateway/src/sockets/connection/mod.rs
+++ b/gateway/src/sockets/connection/mod.rs
@@ -57,9 +57,11 @@
     reader: AtomicRefCell<MessageReader>,
     /// Set when this process has closed the connection, or its coroutine has ended.
     closed: AtomicBool,
-    /// Set when further input is discarded. An operator's connection is shut down for writing after its
-    /// response.
-    input_discarded: AtomicBool,
+    /// Set when an operator's connection has its response, after which it is shut down for writing and its
+    /// input is discarded.
+    operator_answered: AtomicBool,
+    /// Set when nothing more is read from a client's socket. What was read before is still decoded.
+    reading_stopped: AtomicBool,
     /// Set when the reducer is to be notified once all output is written.
     reports_written_output: AtomicBool,
     /// Commands of a client that have no reply yet.
--- a/gateway/src/sockets/connection/read_loop.rs
+++ b/gateway/src/sockets/connection/read_loop.rs
@@ -126,7 +126,10 @@
         let connection = self.connection;
         let flushes = matches!(connection.id, ConnectionId::Client(_) | ConnectionId::Admin(_));
         if connection.is_flushed() || !flushes || flags & ENDED != 0 {
-            let _ = connection.stream.inner().shutdown(Shutdown::Both);
+            // A shutdown would end the connection in order, and hide from the client that something was not read.
+            if !connection.reading_stopped.load(Ordering::Relaxed) {
+                let _ = connection.stream.inner().shutdown(Shutdown::Both);
+            }
             return Err(ConnectionEnd::Closed);
         }
         connection.reader.borrow_mut().discard = true;
@@ -135,7 +138,8 @@
 
     /// Reads the input that is ready, unless reading is paused.
     fn read_unread(&mut self, ended: bool) -> Result<(), CloseReason> {
-        if self.unread_flags == 0 {
+        let reading_stopped = self.connection.reading_stopped.load(Ordering::Relaxed);
+        if self.unread_flags == 0 || reading_stopped {
             return Ok(());
         }
         let from_backend = self.connection.is_backend();
--- a/gateway/src/sockets/connection/writing.rs
+++ b/gateway/src/sockets/connection/writing.rs
@@ -46,7 +46,7 @@
 
     /// Whether this is an operator's connection whose response is in the buffer or written.
     fn is_answered_operator(&self) -> bool {
-        matches!(self.id, ConnectionId::Admin(_)) && self.input_discarded.load(Ordering::Relaxed)
+        matches!(self.id, ConnectionId::Admin(_)) && self.operator_answered.load(Ordering::Relaxed)
     }
 
     /// Whether all output has been written to the socket.
--- a/gateway/src/sockets/effects.rs
+++ b/gateway/src/sockets/effects.rs
@@ -76,12 +76,12 @@
     fn respond(&self, operator: u64, response: &AdminResponse, batch: &mut Batch) {
         self.write(ConnectionId::Admin(operator), batch, |connection| {
             response.encode(connection.write_buffer.borrow_mut().buffer());
-            connection.discard_input();
+            connection.mark_operator_answered();
         });
     }
 
     fn stop_reading(&self, client: u64) {
-        self.connections.with(ConnectionId::Client(client), |connection| connection.discard_input());
+        self.connections.with(ConnectionId::Client(client), |connection| connection.stop_reading());
     }
 
     fn stop_accepting(&self) {
--- a/gateway/src/state/client_table.rs
+++ b/gateway/src/state/client_table.rs
@@ -35,7 +35,11 @@
     pub body_progress_at: Option<f64>,
     /// Whether the client broke the protocol, so that the connection is closed once all commands are answered.
     pub has_protocol_error: bool,
-    /// Whether it is no longer read, and is closed once all commands are answered.
+    /// Whether its requests are rejected, because the instance drains and the connection is to end.
+    pub rejects_requests: bool,
+    /// Whether a command has arrived since the drain rejects requests of busy clients.
+    pub has_late_command: bool,
+    /// Whether nothing more is read from its socket, and it is closed once all commands that were read are answered.
     pub is_reading_stopped: bool,
 }
 
--- a/gateway/src/state/clients.rs
+++ b/gateway/src/state/clients.rs
@@ -46,6 +46,7 @@
         client.has_sent_command = true;
         client.partial_since = None;
         client.body_progress_at = None;
+        client.has_late_command |= self.shutdown.rejects_busy_clients;
         let command_id = CommandId { client: id, number: client.next_command_number() };
         let reply = match command {
             ClientCommand::Ping if accepts_clients => ClientReply::Pong,
@@ -75,8 +76,13 @@
         command_id: CommandId,
         command: RequestCommand,
     ) -> Result<(), ClientReply> {
-        let attributes = self.request_attributes(now, &command);
-        let attributes = attributes.map_err(|error| ClientReply::Error(error.to_string()))?;
+        let valid = self.validate_request(&command).map_err(|error| ClientReply::Error(error.to_string()))?;
+        if self.rejects_request_of(command_id.client) {
+            self.stats.rejected[valid.operation] += 1;
+            self.stats.rejected_while_draining += 1;
+            return Err(ClientReply::busy(self.engine.retry_after_while_draining()));
+        }
+        let attributes = self.request_attributes(now, &command, &valid);
         match self.authorize(now, command_id.client, &command, &attributes) {
             Ok(grant) => {
                 self.accept_request(now, command_id, command, attributes, grant);
@@ -111,16 +117,23 @@
         granted
     }
 
-    /// Returns the attributes of a request for the policy engine, or why the command is invalid.
+    /// Returns what a command refers to, or why it is invalid.
+    fn validate_request(&self, command: &RequestCommand) -> Result<ValidCommand, InvalidCommand> {
+        let valid = validate(&self.instance, command)?;
+        if self.requests.open_ids.contains(&command.id) {
+            return Err(InvalidCommand::IdInUse);
+        }
+        Ok(valid)
+    }
+
+    /// Returns the attributes of a request for the policy engine.
     fn request_attributes(
         &mut self,
         now: f64,
         command: &RequestCommand,
-    ) -> Result<RequestAttributes, InvalidCommand> {
-        let ValidCommand { operation, plan } = validate(&self.instance, command)?;
-        if self.requests.open_ids.contains(&command.id) {
-            return Err(InvalidCommand::IdInUse);
-        }
+        valid: &ValidCommand,
+    ) -> RequestAttributes {
+        let ValidCommand { operation, plan } = *valid;
         let customer = self.customers.intern(&command.customer);
         let instances = InstanceRange { first: command.first_instance, count: command.instance_count };
         // The limits declared now apply to this request, even if others are declared later.
@@ -130,7 +143,7 @@
         let limits = class.map(|class| class.request_limits).unwrap_or_default();
         let membership = self.membership.as_mut();
         let absent_fraction = membership.map_or(0.0, |membership| membership.absent_fraction(now, instances));
-        Ok(RequestAttributes {
+        RequestAttributes {
             operation,
             plan,
             customer,
@@ -139,7 +152,7 @@
             deadline,
             absent_fraction,
             limits,
-        })
+        }
     }
 
     fn accept_request(
--- a/gateway/src/state/effect.rs
+++ b/gateway/src/state/effect.rs
@@ -42,14 +42,16 @@
     /// Announces the maximum number of file descriptors that this process holds from now on; the other process of this
     /// instance may use the rest.
     AnnounceDescriptorLimit(usize),
-    /// Closes a client's connection unless unread bytes have arrived on it, or output is still to be written.
+    /// Closes a client's connection unless unread bytes have arrived on it, or output is still to be written. After
+    /// `StopReading`, only bytes that were read before count.
     CloseIfIdle {
         /// The client's connection.
         client: u64,
         /// Why it is closed.
         reason: CloseReason,
     },
-    /// Stops reading this client's commands; only the end of its connection is still reported.
+    /// Stops reading from this client's socket. The commands that were read before, and the end of the connection, are
+    /// still reported.
     StopReading(u64),
     /// Writes an attempt to a backend's connection.
     SendAttempt {
--- a/gateway/src/state/log_message.rs
+++ b/gateway/src/state/log_message.rs
@@ -31,6 +31,16 @@
         /// The backend's name.
         name: String,
     },
+    /// The drain has begun to reject the requests of clients that have a pending one.
+    BusyClientsRejected {
+        /// Number of these clients.
+        clients: usize,
+    },
+    /// The drain ends the connections of clients that have kept sending commands.
+    BusyClientsEnded {
+        /// Number of these clients.
+        clients: usize,
+    },
     /// Callers must authenticate with tokens of this issuer.
     CallersAuthenticated {
         /// The issuer.
@@ -133,6 +143,13 @@
             LogMessage::BackendRestored { name } => {
                 write!(formatter, "backend {name} restored by an operator")
             }
+            LogMessage::BusyClientsRejected { clients } => {
+                write!(formatter, "draining: further requests of {clients} busy clients are rejected")
+            }
+            LogMessage::BusyClientsEnded { clients } => write!(
+                formatter,
+                "draining: {clients} clients kept sending commands and are closed after their replies"
+            ),
             LogMessage::CallersAuthenticated { issuer, keys, revoked } => {
                 write!(
                     formatter,
--- a/gateway/src/state/shutdown.rs
+++ b/gateway/src/state/shutdown.rs
@@ -30,6 +30,8 @@
     pub announced_descriptor_limit: Option<usize>,
     /// Whether clients' connections are closed between requests.
     pub is_draining: bool,
+    /// Whether requests of busy clients are rejected. On a connection that was not busy, one more request is forwarded.
+    pub rejects_busy_clients: bool,
     /// The timer for the next step of the drain.
     pub drain_timer: Option<TimerKey>,
     /// Clients whose connections may be closed after this batch of events.
@@ -44,6 +46,7 @@
             hands_over_listener: false,
             announced_descriptor_limit: None,
             is_draining: false,
+            rejects_busy_clients: false,
             drain_timer: None,
             closing_clients: BTreeSet::new(),
         }
@@ -76,6 +79,7 @@
         self.log(LogMessage::ShutdownStarted);
         // Clients may still connect for a while, even if an operator has already drained the instance.
         self.shutdown.is_draining = false;
+        self.shutdown.rejects_busy_clients = false;
         self.schedule_drain(now);
     }
 
@@ -83,17 +87,23 @@
     /// once more on waiting requests, and later commands are answered at once. Streams continue until the exit.
     pub(super) fn answer_before_exit(&mut self, now: f64) {
         for request in self.requests.slots.keys().collect::<Vec<RequestIndex>>() {
-            let Some(pending) = self.requests.get_open_mut(request) else { continue };
-            if pending.streaming_attempt.is_some() {
-                continue;
-            }
-            pending.attributes.deadline = pending.attributes.deadline.min(self.shutdown.answer_deadline);
-            self.route_request(now, request);
-            self.time_out_attempts(request);
-            self.report_ended_attempts(now);
+            self.answer_by(now, request, self.shutdown.answer_deadline);
         }
     }
 
+    /// Moves the deadline of an open request to `deadline`, which has passed, and answers the request. A response that
+    /// is streamed goes on.
+    pub(super) fn answer_by(&mut self, now: f64, request: RequestIndex, deadline: f64) {
+        let Some(pending) = self.requests.get_open_mut(request) else { return };
+        if pending.streaming_attempt.is_some() {
+            return;
+        }
+        pending.attributes.deadline = pending.attributes.deadline.min(deadline);
+        self.route_request(now, request);
+        self.time_out_attempts(request);
+        self.report_ended_attempts(now);
+    }
+
     /// Returns whether the process is stopping and no client is left.
     pub fn is_done(&self) -> bool {
         self.shutdown.is_draining && self.shutdown.is_stopping && self.clients.connections.is_empty()
--- a/gateway/src/state/stats.rs
+++ b/gateway/src/state/stats.rs
@@ -13,6 +13,8 @@
     pub rejected: Vec<u64>,
     /// Requests that failed.
     pub failed: Vec<u64>,
+    /// Requests rejected because the instance drains and their connections are to end, of all operations.
+    pub rejected_while_draining: u64,
     /// Number of attempts written to backends.
     pub attempts_written: u64,
     /// Number of successful reloads of the configuration.
@@ -35,6 +37,7 @@
     completed: BTreeMap<&'a str, u64>,
     rejected: BTreeMap<&'a str, u64>,
     failed: BTreeMap<&'a str, u64>,
+    rejected_while_draining: u64,
     upstream_requests: u64,
     pending: usize,
     #[serde(rename = "members")]
@@ -59,6 +62,7 @@
             completed: by_operation(&self.stats.completed),
             rejected: by_operation(&self.stats.rejected),
             failed: by_operation(&self.stats.failed),
+            rejected_while_draining: self.stats.rejected_while_draining,
             upstream_requests: self.stats.attempts_written,
             pending: self.requests.slots.iter().filter(|pending| !pending.is_closed).count(),
             backends: entries.filter(|entry| entry.status != EndpointStatus::Removed).count(),
--- a/gateway/src/state/timers.rs
+++ b/gateway/src/state/timers.rs
@@ -25,8 +25,10 @@
     AdminTimeout(u64),
     /// The drain starts to close clients' connections.
     BeginDrain,
-    /// Clients that keep sending commands to a draining instance are no longer read.
-    StopReading,
+    /// Requests of busy clients are rejected from now on, as the instance drains.
+    RejectBusyClients,
+    /// The connections of clients that keep sending commands to a drained instance end.
+    EndBusyClients,
     /// The membership heartbeats that are due are sent.
     MembershipCall,
     /// All pending requests are answered, as the process will be killed soon.
--- a/gateway/tests/reducer/shutdown.rs
+++ b/gateway/tests/reducer/shutdown.rs
@@ -315,6 +315,109 @@
     bench.run_until(established_at).backend_connected(backend_connection);
 }
 
+/// Guards against requests that are read and never answered: those behind a pending one are rejected, each in its
+/// turn, from 1.5 s after SIGTERM on; before, they were discarded.
+#[test]
+fn requests_behind_a_pending_one_are_rejected_in_their_turn_during_a_shutdown() {
+    let mut bench = bench_with_order_in_flight(3000);
+    bench.event(Event::Shutdown).run_until(1.0);
+    bench.request(1, "look", 5).run_until(1.7).request(1, "look", 5).client_sends(1, PING);
+    bench.request_with(1, "look", "0000000000000005", "t=none,d=800,units=1,spread=1,first=0");
+    bench.run_until(3.1).event(Event::IdleClientClosed { client: 1, reason: CloseReason::Stopping });
+    assert_trace_of_clients(
+        &mut bench,
+        expect![[r#"
+        0.050 log: shutting down: still serving clients, then closing their connections
+        0.550 stop accepting
+        1.550 log: draining: further requests of 1 busy clients are rejected
+        3.000 client 1: -ERR failed
+        3.000 client 1: -BUSY 500
+        3.000 client 1: -BUSY 50
+        3.000 client 1: -ERR draining
+        3.000 client 1: -ERR unknown plan
+        3.000 close client 1 if idle
+        3.100 log: connection client 1 ended: stopping
+        3.100 exit once all is written
+    "#]],
+    );
+}
+
+/// Guards against a client that holds its connection to a drained instance by sending commands without a pause:
+/// its pending requests are answered before 4 s have passed, and nothing more is read from it.
+#[test]
+fn a_client_that_keeps_sending_to_a_drained_instance_is_closed_after_its_replies() {
+    let mut bench = bench_with_order_in_flight(3000);
+    admin_call(&mut bench, 1, "POST /healthcheck/fail");
+    shared_state_saved(&mut bench, 1, &[], true);
+    bench.run_until(1.4);
+    send_in_flight(&mut bench, 1, 6, 3000);
+    bench.run_until(1.7).request(1, "look", 5).run_until(3.5);
+    // On a connection that was not busy, one request is forwarded.
+    bench.client_connects(2);
+    send_in_flight(&mut bench, 2, 8, 800);
+    bench.request(2, "look", 5).run_until(4.0);
+    bench.retain_lines(|line| !line.contains("ounter") && !line.contains("iscovery"));
+    bench.assert_trace(expect![[r#"
+        0.050 log: drain started by an operator: closing connections
+        0.050 save SetDrained(true)
+        0.050 operator 1: 200 done
+        1.050 log: connection operator 1 ended: called
+        1.440 connect Backend(6) to 127.0.0.1:7012
+        1.450 backend connection 6: order for 2950 ms
+        1.550 log: draining: further requests of 1 busy clients are rejected
+        3.000 log: connection backend 3 s-a ended: gave-up
+        3.000 client 1: -ERR failed
+        3.500 connect Backend(7) to 127.0.0.1:7011
+        3.750 log: connection backend 7 s-a ended: dial-timeout
+        3.750 connect Backend(9) to 127.0.0.1:7012
+        3.850 log: draining: 2 clients kept sending commands and are closed after their replies
+        3.850 stop reading client 1
+        3.850 log: connection backend 6 s-b ended: gave-up
+        3.850 client 1: -ERR failed
+        3.850 client 1: -BUSY 50
+        3.850 stop reading client 2
+        3.850 log: connection backend 9 s-b ended: gave-up
+        3.850 client 2: -ERR failed
+        3.850 client 2: -BUSY 50
+        3.850 close client 1 if idle
+        3.850 close client 2 if idle
+    "#]]);
+}
+
+/// Guards against clients that are rejected after the drain has ended.
+#[test]
+fn a_client_that_was_rejected_during_a_drain_is_served_after_its_end() {
+    let mut bench = bench_with_order_in_flight(2500);
+    admin_call(&mut bench, 1, "POST /healthcheck/fail");
+    shared_state_saved(&mut bench, 1, &[], true);
+    bench.run_until(1.6).request(1, "look", 5).run_until(1.8);
+    admin_call(&mut bench, 2, "POST /healthcheck/ok");
+    shared_state_saved(&mut bench, 2, &[], false);
+    bench.request(1, "look", 5).run_until(4.2);
+    bench.retain_lines(|line| !line.contains("ounter") && !line.contains("iscovery"));
+    bench.assert_trace(expect![[r#"
+        0.050 log: drain started by an operator: closing connections
+        0.050 save SetDrained(true)
+        0.050 operator 1: 200 done
+        1.050 log: connection operator 1 ended: called
+        1.550 log: draining: further requests of 1 busy clients are rejected
+        1.800 log: drain ended by an operator
+        1.800 save SetDrained(false)
+        1.800 operator 2: 200 done
+        1.816 connect Backend(6) to 127.0.0.1:7012
+        2.066 connect Backend(7) to 127.0.0.1:7011
+        2.066 log: connection backend 6 s-b ended: dial-timeout
+        2.166 connect Backend(8) to 127.0.0.1:7012
+        2.316 log: connection backend 7 s-a ended: dial-timeout
+        2.416 log: connection backend 8 s-b ended: dial-timeout
+        2.500 log: connection backend 3 s-a ended: gave-up
+        2.500 client 1: -ERR failed
+        2.500 client 1: -BUSY 50
+        2.500 client 1: -BUSY 500
+        2.800 log: connection operator 2 ended: called
+    "#]]);
+}
+
 /// Guards against a connection that stays open after a drain: it could not be closed while replies to its client
 /// were still to be written.
 #[test]
--- a/gateway/tests/shutdown.rs
+++ b/gateway/tests/shutdown.rs
@@ -2,15 +2,18 @@
 //! process reads gets its reply before the connection ends.
 use nix::sys::signal::Signal;
 use std::io::{BufReader, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::thread::sleep;
-use std::time::Duration;
+use std::thread::{sleep, spawn, JoinHandle};
+use std::time::{Duration, Instant};
 
 mod common;
 use common::example_servers::{self, read_command, request, serve_connections};
-use common::{free_listener, gateway_with_backend, read_to_end, send_request, unresponsive_backend, PING};
+use common::{
+    admin_call, free_listener, gateway_with_backend, read_to_end, send_request, unchanged, unique_address,
+    unresponsive_backend, PING,
+};
 
 const SECOND: Duration = Duration::from_secs(1);
 const TENTH_OF_A_SECOND: Duration = Duration::from_millis(100);
@@ -19,6 +22,15 @@
 /// What the socket buffers of both sides hold at most with such a receive buffer, in bytes: the maximum of
 /// `tcp_wmem` is 4 MiB.
 const MAX_SOCKET_BUFFER_BYTES: usize = 5 * 1024 * 1024;
+/// A command that was sent this long before the end of its connection may cross the end without being read.
+const CROSSING: Duration = Duration::from_millis(200);
+/// Time after an operator's request to drain by which no connection may hold a command of the last 2 s.
+const DRAIN_LIMIT: Duration = Duration::from_secs(4);
+
+/// Returns the configuration with this address for operators' calls.
+fn with_operators_at(address: SocketAddr) -> impl Fn(String) -> String {
+    move |configuration| configuration.replacen('{', &format!("{{ \"mgmt\": \"{address}\","), 1)
+}
 
 /// Returns the configuration with timeouts of 1 s: the kill comes 1.7 s after SIGTERM, and the process exits
 /// 0.1 s before.
@@ -33,6 +45,23 @@
     configuration.replace("\"per_second\": 2, \"depth\": 12", "\"per_second\": 100000, \"depth\": 100000")
 }
 
+/// Guards against requests that are read and never answered: 1.5 s after SIGTERM the gateway discarded the input
+/// of every client with a pending request, and closed the connection after the reply to that one.
+#[test]
+fn a_request_sent_behind_a_pending_one_after_sigterm_is_answered_before_the_connection_ends() {
+    let (backend, address) = free_listener();
+    let commands = unresponsive_backend(backend);
+    let mut gateway = gateway_with_backend("behind-pending", address, unchanged);
+    let mut client = gateway.connect();
+    send_request(&mut client, "order", 3000);
+    commands.recv_timeout(5 * SECOND).expect("the request is forwarded");
+    gateway.signal(Signal::SIGTERM);
+    sleep(18 * TENTH_OF_A_SECOND);
+    send_request(&mut client, "look", 1000);
+    assert_eq!(read_to_end(client), "-ERR failed\r\n-BUSY 50\r\n");
+    assert_eq!(gateway.exit_code(), Some(0));
+}
+
 /// Guards against a command that is read and not answered because it arrives together with the time of the exit:
 /// the process exited before it wrote the replies of that batch.
 #[test]
@@ -115,3 +144,60 @@
     assert_eq!(count_replies(client), REQUESTS + 1);
     assert_eq!(gateway.exit_code(), Some(0));
 }
+
+/// Sends a `look` every `interval` until the connection ends; returns the times before each write.
+fn send_requests(mut client: TcpStream, interval: Duration) -> JoinHandle<Vec<Instant>> {
+    spawn(move || {
+        let mut sent_at = vec![Instant::now()];
+        while client.write_all(request("look", 1500).as_bytes()).is_ok() {
+            sleep(interval);
+            sent_at.push(Instant::now());
+        }
+        sent_at
+    })
+}
+
+/// Guards against a drain that does not end: a client that keeps sending commands holds its connection open, or
+/// its last commands are read and never answered. `interval`: time between two commands.
+fn assert_a_busy_client_is_disconnected_in_time(name: &str, interval: Duration) {
+    const ORDERS: usize = 2;
+    let (backend, address) = free_listener();
+    let commands = unresponsive_backend(backend);
+    let operators = unique_address(7404);
+    let gateway = gateway_with_backend(name, address, with_operators_at(operators));
+    let mut client = gateway.connect();
+    send_request(&mut client, "order", 3000);
+    commands.recv_timeout(5 * SECOND).expect("the request is forwarded");
+    let drained_at = Instant::now();
+    assert_eq!(admin_call(operators, "POST /healthcheck/fail"), "200 done");
+    // The timeout of this request ends after the limit.
+    sleep(12 * TENTH_OF_A_SECOND);
+    send_request(&mut client, "order", 3000);
+    commands.recv_timeout(5 * SECOND).expect("the request is forwarded");
+    sleep(8 * TENTH_OF_A_SECOND);
+    let sender = send_requests(client.try_clone().expect("the socket handle is duplicated"), interval);
+    let replies = read_to_end(client);
+    let ended_at = Instant::now();
+    let sent_at = sender.join().expect("the sender ends");
+    let held_for = ended_at - drained_at;
+    assert!(held_for < DRAIN_LIMIT, "held for {held_for:?} after the request to drain");
+    let answered = replies.lines().count().checked_sub(ORDERS).expect("both orders are answered");
+    assert!(0 < answered && answered < sent_at.len(), "{answered} replies to {} commands", sent_at.len());
+    let first_unanswered = ended_at.saturating_duration_since(sent_at[answered]);
+    assert!(
+        first_unanswered < CROSSING,
+        "only {answered} of {} commands are answered; the next one was sent {first_unanswered:?} before the end",
+        sent_at.len()
+    );
+}
+
+#[test]
+fn a_client_that_sends_a_command_every_5_ms_to_a_drained_instance_is_disconnected_within_4_s() {
+    assert_a_busy_client_is_disconnected_in_time("steady", Duration::from_millis(5));
+}
+
+#[test]
+fn a_client_that_sends_more_commands_than_are_buffered_to_a_drained_instance_is_disconnected_within_4_s() {
+    // Fewer than 65,536 in all, as the connection of a client with more commands in the buffer is closed.
+    assert_a_busy_client_is_disconnected_in_time("saturating", Duration::from_micros(50));
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -173,13 +173,22 @@
         self.requests.get_mut(&index).expect("a request that is decided on must be pending")
     }
 
-    /// Throttles a request. The Retry-After is `delay` seconds within its bounds, if the settings allow one.
+    /// Throttles a request, with a Retry-After of `delay` seconds within its bounds.
     fn throttle(&self, delay: f64) -> Decision {
+        Decision::Throttle { retry_after: self.retry_after(delay) }
+    }
+
+    /// Returns a Retry-After of `delay` seconds within its bounds, if the settings allow one.
+    fn retry_after(&self, delay: f64) -> Option<f64> {
         /// Minimum Retry-After, in seconds.
         const MIN_RETRY_AFTER: f64 = 0.05;
         let upper_bound = self.attempt_settings.max_retry_after;
-        Decision::Throttle {
-            retry_after: upper_bound.map(|upper_bound| delay.max(MIN_RETRY_AFTER).min(upper_bound)),
-        }
+        upper_bound.map(|upper_bound| delay.max(MIN_RETRY_AFTER).min(upper_bound))
+    }
+
+    /// Returns the Retry-After of requests that are rejected because the instance drains, in seconds, if the settings
+    /// allow one. Other instances can take these requests at once.
+    pub fn retry_after_while_draining(&self) -> Option<f64> {
+        self.retry_after(0.0)
     }
 }
