Emulator: no request during a shutdown is excused from its answer

Cause: the checker excused a draining process twice: bytes on a connection that it no longer read did not count, although the sockets read and discarded them; and what arrived 0.7 s and more after SIGTERM needed no answer, although the protocol counts just that as lost. Change: both exceptions are gone.

--- a/emulator/src/checker/client_connection.rs
+++ b/emulator/src/checker/client_connection.rs
@@ -60,12 +60,19 @@
     /// Returns the oldest request without a response. None if a response was written in part: the client can detect that a truncated
     /// response is incomplete.
     pub fn lost_request(&self) -> Option<LostRequest> {
+        self.lost_request_since(f64::NEG_INFINITY)
+    }
+
+    /// Returns the first request without a response that arrived after `since`. None if a response has been written in part.
+    pub fn lost_request_since(&self, since: f64) -> Option<LostRequest> {
         if !self.response_bytes.is_empty() {
             return None;
         }
-        self.pending.iter().find_map(|command| match command.kind {
-            CommandKind::Request(id) => Some(LostRequest { id, received_at: command.received_at }),
-            CommandKind::Other => None,
+        self.pending.iter().filter(|command| command.received_at > since).find_map(|command| {
+            match command.kind {
+                CommandKind::Request(id) => Some(LostRequest { id, received_at: command.received_at }),
+                CommandKind::Other => None,
+            }
         })
     }
 }
--- a/emulator/src/checker/client_responses.rs
+++ b/emulator/src/checker/client_responses.rs
@@ -3,7 +3,7 @@
 use super::deadlines::{Deadline, MALFORMED_TIMEOUT};
 use super::request::{AttemptOutcome, RequestEvent, RequestRecord};
 use super::response::escape;
-use super::{parse_response, Checker, Invariant, ParsedResponse, ResponseKind, SHUTDOWN_INTAKE, TOLERANCE};
+use super::{parse_response, Checker, Invariant, ParsedResponse, ResponseKind, TOLERANCE};
 use crate::network::LinkId;
 use quillramp::types::Idempotency;
 use quillramp_gateway::wire::resp;
@@ -204,11 +204,7 @@
         if now <= process.stalled_until + TOLERANCE {
             return;
         }
-        let response_required = |lost: &LostRequest| {
-            let received_at = lost.received_at.max(process.stalled_until);
-            process.shutdown_at.is_none_or(|at| received_at <= at + SHUTDOWN_INTAKE)
-        };
-        if let Some(LostRequest { id, received_at }) = client.lost_request().filter(response_required) {
+        if let Some(LostRequest { id, received_at }) = client.lost_request() {
             let message = format!(
                 "request {id:016x}, received at {received_at:.4}: the process closed its connection {link} without a response"
             );
--- a/emulator/src/checker/deadlines.rs
+++ b/emulator/src/checker/deadlines.rs
@@ -1,6 +1,6 @@
 //! Checks that each command of a client gets its response before a deadline.
 use super::client_connection::{ClientConnection, CommandKind, PendingCommand};
-use super::{Checker, Invariant, SHUTDOWN_INTAKE, TOLERANCE};
+use super::{Checker, Invariant, TOLERANCE};
 use crate::network::LinkId;
 
 /// Maximum number of seconds from the start of a connection to the error or the close for a client whose bytes can't be parsed.
@@ -75,7 +75,8 @@
             } else if !client.response_bytes.is_empty() && !client.malformed {
                 // The response has been written in part.
                 self.deadlines.insert(Deadline::new(now + RECHECK_INTERVAL, link));
-            } else if let Some(message) = self.overdue_message(link, client) {
+            } else {
+                let message = Self::overdue_message(link, client);
                 match client.front_request() {
                     Some(id) => self.record_request_violation(Invariant::SingleResponse, now, id, message),
                     None => self.record_violation(Invariant::SingleResponse, now, message),
@@ -84,22 +85,18 @@
         }
     }
 
-    /// Returns the message about a connection without a response in time. None if the command was received too late after a shutdown
-    /// request to require a response.
-    fn overdue_message(&self, link: LinkId, client: &ClientConnection) -> Option<String> {
+    /// Returns the message about a connection without a response in time.
+    fn overdue_message(link: LinkId, client: &ClientConnection) -> String {
         if client.malformed {
-            return Some(format!(
+            return format!(
                 "connection {link}: expected an error or a close within {MALFORMED_TIMEOUT} s for bytes that can't be parsed, found neither"
-            ));
+            );
         }
-        let process = self.processes.get(&client.process);
-        let shutdown_time = process.and_then(|process| process.shutdown_at);
         match client.pending.front() {
-            Some(command) if shutdown_time.is_some_and(|at| command.received_at > at + SHUTDOWN_INTAKE) => None,
-            Some(PendingCommand { kind: CommandKind::Request(id), received_at }) => Some(format!(
+            Some(PendingCommand { kind: CommandKind::Request(id), received_at }) => format!(
                 "request {id:016x}, received at {received_at:.4} on connection {link}, got no response before its deadline"
-            )),
-            _ => Some(format!("connection {link}: a command got no response before its deadline")),
+            ),
+            _ => format!("connection {link}: a command got no response before its deadline"),
         }
     }
 }
--- a/emulator/src/checker/mod.rs
+++ b/emulator/src/checker/mod.rs
@@ -45,8 +45,6 @@
 
 /// Seconds added to each time limit, because sockets are slower than the virtual clock.
 const TOLERANCE: f64 = 0.05;
-/// Seconds after a shutdown request during which received commands still require a response.
-const SHUTDOWN_INTAKE: f64 = 0.7;
 
 /// Observes a run and keeps the first violation, which ends the run. Times are in seconds of the virtual clock.
 pub struct Checker {
--- a/emulator/src/checker/processes.rs
+++ b/emulator/src/checker/processes.rs
@@ -1,8 +1,12 @@
 //! Tracks the starts, stalls, shutdown requests and ends of gateway processes, and checks the number of descriptors that they hold.
-use super::{Checker, Invariant};
+use super::client_connection::LostRequest;
+use super::{Checker, Invariant, TOLERANCE};
 use crate::network::LinkId;
 use std::collections::{BTreeSet, HashMap};
 
+/// Seconds after a shutdown request from which a request must not be pending when the shutdown timeout expires.
+const SHUTDOWN_INTAKE: f64 = 0.7;
+
 /// The state of a process as observed from outside.
 #[derive(Default)]
 pub(super) struct ProcessState {
@@ -34,6 +38,26 @@
         self.processes.entry(process).or_default().shutdown_at.get_or_insert(now);
     }
 
+    /// Checks a process whose shutdown timeout has expired, before it is killed: requests that it received more than `SHUTDOWN_INTAKE`
+    /// after the shutdown request are lost without a response.
+    pub fn shutdown_timed_out(&mut self, now: f64, process: usize) {
+        let Some(state) = self.processes.get(&process) else { return };
+        let Some(shutdown_at) = state.shutdown_at.filter(|_| now > state.stalled_until + TOLERANCE) else {
+            return;
+        };
+        let process_clients = self.clients.iter().filter(|(_, client)| client.process == process);
+        let unanswered = process_clients.filter_map(|(link, client)| {
+            let request = client.lost_request_since(shutdown_at + SHUTDOWN_INTAKE)?;
+            Some((*link, request))
+        });
+        if let Some((link, LostRequest { id, received_at })) = unanswered.min_by_key(|(link, _)| *link) {
+            let message = format!(
+                "request {id:016x}, received at {received_at:.4} on connection {link}: the process was killed before it responded"
+            );
+            self.record_request_violation(Invariant::SingleResponse, now, id, message);
+        }
+    }
+
     /// Records that a process exited by itself, and checks that it leaves no request without a response.
     pub fn process_exited(&mut self, now: f64, process: usize) {
         let process_clients = self.clients.iter().filter(|(_, client)| client.process == process);
--- a/emulator/src/gateway_process/effects.rs
+++ b/emulator/src/gateway_process/effects.rs
@@ -50,7 +50,10 @@
             Effect::Connect { connection, address } => self.connect(ctx, addresses, connection, address),
             Effect::Close(id) => self.close(ctx, id),
             Effect::SendDatagram { to, body } => self.send_datagram(ctx, addresses, to, &body),
-            Effect::Log(message) => self.log(ctx, &message.to_string()),
+            Effect::Log(message) => {
+                self.discard_late_input(&message);
+                self.log(ctx, &message.to_string());
+            }
             Effect::LogClosed(closed) => self.log(ctx, &closed.to_string()),
             Effect::StopAccepting => self.accepting = false,
             Effect::Exit => {
--- a/emulator/src/gateway_process/injected_defect.rs
+++ b/emulator/src/gateway_process/injected_defect.rs
@@ -3,6 +3,7 @@
 use crate::context::Context;
 use quillramp_gateway::state::connection::ConnectionId;
 use quillramp_gateway::state::event::Event;
+use quillramp_gateway::state::log_message::LogMessage;
 use quillramp_gateway::wire::endpoints::EndpointList;
 use quillramp_gateway::wire::resp::ClientReply;
 
@@ -12,6 +13,9 @@
     /// One response in fifty is not written.
     #[value(name = "swallows-answers")]
     DropsResponses,
+    /// Commands of busy clients are read and discarded once a drain rejects them.
+    #[value(name = "discards-late-input")]
+    DiscardsLateInput,
     /// One response in fifty is written twice.
     #[value(name = "answers-twice")]
     DuplicatesResponses,
@@ -47,6 +51,16 @@
         self.has_defect(InjectedDefect::DropsResponses) && ctx.draw_bool(RESPONSE_DEFECT_PROBABILITY)
     }
 
+    /// Discards the further input of all clients if the process has this defect and has just begun to reject busy clients.
+    pub(super) fn discard_late_input(&mut self, message: &LogMessage) {
+        let begins = matches!(message, LogMessage::BusyClientsRejected { .. });
+        if begins && self.has_defect(InjectedDefect::DiscardsLateInput) {
+            let connections = self.connections.iter_mut();
+            let clients = connections.filter(|(id, _)| matches!(id, ConnectionId::Client(_)));
+            clients.for_each(|(_, connection)| connection.reader.discard = true);
+        }
+    }
+
     /// Returns whether the next response is written twice, drawn at random if the process has this defect.
     pub(super) fn duplicates_response(&self, ctx: &mut Context) -> bool {
         self.has_defect(InjectedDefect::DuplicatesResponses) && ctx.draw_bool(RESPONSE_DEFECT_PROBABILITY)
--- a/emulator/src/simulation/dispatch.rs
+++ b/emulator/src/simulation/dispatch.rs
@@ -27,7 +27,7 @@
             ScheduledEvent::ConnectCompleted { link, accepted } => self.connect_completed(link, accepted),
             ScheduledEvent::RandomReset => self.random_reset(),
             ScheduledEvent::ProcessWake(process) => self.run_process(process),
-            ScheduledEvent::ProcessKilled(process) => self.end_process(process, true),
+            ScheduledEvent::ProcessKilled(process) => self.kill_after_shutdown(process),
             ScheduledEvent::InstanceStarts(instance) => self.start_instance(instance),
             ScheduledEvent::DatagramArrived { instance, from, body } => {
                 self.deliver_datagram(instance, Event::Datagram { from, body })
--- a/emulator/src/simulation/instances.rs
+++ b/emulator/src/simulation/instances.rs
@@ -197,6 +197,14 @@
         }
     }
 
+    /// Kills a process that has not exited within the shutdown timeout.
+    pub(super) fn kill_after_shutdown(&mut self, process: usize) {
+        if self.processes[process].alive {
+            self.ctx.checker.shutdown_timed_out(self.ctx.now, process);
+        }
+        self.end_process(process, true);
+    }
+
     /// Kills all processes of an instance.
     pub(super) fn kill_instance(&mut self, instance: usize) {
         for process in self.instances[instance].processes.clone() {
--- a/emulator/tests/emulator.rs
+++ b/emulator/tests/emulator.rs
@@ -91,6 +91,20 @@
     }
 }
 
+/// Guards against checks that excuse a process from what it reads while it shuts down: they hid requests of busy clients that were read,
+/// discarded and never answered.
+#[test]
+fn input_that_is_discarded_during_a_shutdown_is_detected() {
+    for seed in [41, 149, 199] {
+        let scenario = Scenario::generate(seed);
+        let violation = simulate(&scenario, Some(InjectedDefect::DiscardsLateInput))
+            .violation
+            .unwrap_or_else(|| panic!("seed {seed}: the defect is not detected"));
+        assert_eq!(violation.invariant, Invariant::SingleResponse, "seed {seed}: {}", violation.message);
+        assert_no_violation("without the defect", &simulate(&scenario, None));
+    }
+}
+
 #[test]
 fn repeated_execution_and_throttling_after_execution_are_detected() {
     let detected = detected_invariants(InjectedDefect::RepeatsNonIdempotent, 6);
