Contracts that are removed and added keep the accounts of requests in flight

With the teams in another order, units went to another team's account. Cause: Reducer::set_contracts dropped the broker when a file had no contracts; the next one numbered the teams anew, and Broker::settle and refund took the numbers of the old grants. Change: the state stays, inactive without contracts, so that a team keeps its number, its budget's spent units and its grants. Tests: three reducer tests, one of them with random reloads against a plain model of the accounts (300 cases); without the change all three fail (index out of bounds; units missing or at another team).

--- a/gateway/src/state/broker.rs
+++ b/gateway/src/state/broker.rs
@@ -17,10 +17,12 @@
 /// Maximum Retry-After in replies to clients, in seconds.
 const MAX_RETRY_AFTER_SECONDS: f64 = 3600.0;
 
-/// The broker, its settings, and the counters of budgets.
+/// The broker, its settings, and the counters of budgets. Without contracts it is kept, inactive: grants of requests in
+/// flight are settled with it, and units that a team has spent stay spent.
 pub struct BrokerState {
     broker: Broker,
-    settings: BrokerSettings,
+    /// `None` without contracts.
+    settings: Option<BrokerSettings>,
     /// Teams, by the customer index of their budget's counter.
     teams: BTreeMap<CustomerIndex, TeamId>,
     /// Budget periods, by the series of their counter.
@@ -58,14 +60,22 @@
 impl BrokerState {
     fn new(now: f64, settings: BrokerSettings, instances: usize) -> BrokerState {
         let broker = Broker::new(now, settings.contracts.clone(), instances, settings.capacity);
-        BrokerState { broker, settings, teams: BTreeMap::new(), periods: BTreeMap::new() }
+        BrokerState { broker, settings: Some(settings), teams: BTreeMap::new(), periods: BTreeMap::new() }
     }
 
-    fn update(&mut self, now: f64, settings: BrokerSettings) {
-        self.broker.set_contracts(now, settings.contracts.clone(), settings.capacity);
+    /// Replaces the contracts, or removes them.
+    fn update(&mut self, now: f64, settings: Option<BrokerSettings>) {
+        let (contracts, capacity) =
+            settings.as_ref().map_or_else(Default::default, |new| (new.contracts.clone(), new.capacity));
+        self.broker.set_contracts(now, contracts, capacity);
         self.settings = settings;
     }
 
+    /// Returns whether there are contracts.
+    pub fn is_active(&self) -> bool {
+        self.settings.is_some()
+    }
+
     /// Returns whether this counter is that of a budget.
     pub fn owns_counter(&self, key: CounterKey) -> bool {
         self.teams.contains_key(&key.customer)
@@ -89,7 +99,8 @@
 impl Reducer {
     /// Replaces the contracts, or removes them. Requests that were accepted before keep their grants.
     pub(super) fn set_contracts(&mut self, now: f64, settings: Option<BrokerSettings>) {
-        if self.broker.as_ref().map(|state| &state.settings) == settings.as_ref() {
+        let previous = self.broker.as_ref().and_then(|state| state.settings.as_ref());
+        if previous == settings.as_ref() {
             return;
         }
         self.log(match &settings {
@@ -101,15 +112,20 @@
             },
         });
         match (&mut self.broker, settings) {
-            (broker, None) => *broker = None,
-            (Some(broker), Some(settings)) => broker.update(now, settings),
+            (Some(broker), settings) => broker.update(now, settings),
             (broker, Some(settings)) => {
                 *broker = Some(BrokerState::new(now, settings, self.instance.instances));
             }
+            (None, None) => {}
         }
     }
 
-    /// Returns the grant of the team's contract for a request, `None` without a broker, or the reply that rejects the
+    /// Returns whether there are contracts between teams.
+    pub(super) fn has_contracts(&self) -> bool {
+        self.broker.as_ref().is_some_and(BrokerState::is_active)
+    }
+
+    /// Returns the grant of the team's contract for a request, `None` without contracts, or the reply that rejects the
     /// request. `caller_team`: the team of the client's token, if clients must authenticate.
     pub(super) fn request_grant(
         &mut self,
@@ -119,13 +135,14 @@
         attributes: &RequestAttributes,
     ) -> Result<Option<Grant>, ClientReply> {
         let Some(state) = &mut self.broker else { return Ok(None) };
+        let Some(settings) = &state.settings else { return Ok(None) };
         let team = match caller_team {
             Some(name) => Some(state.broker.team_id(&name)),
             None => state.broker.team_of_customer(now, command.customer),
         };
         let team = match team {
             Some(team) => team,
-            None if state.settings.admits_unknown_customers => return Ok(None),
+            None if settings.admits_unknown_customers => return Ok(None),
             None => return Err(denied_by_contract(Reason::NoContract)),
         };
         let operation = &self.instance.operations[attributes.operation].name;
@@ -181,7 +198,7 @@
 
     /// Returns each team's usage of its contract, as JSON for operators.
     pub(super) fn contract_usage(&self) -> String {
-        let Some(state) = &self.broker else { return "{}".into() };
+        let Some(state) = self.broker.as_ref().filter(|state| state.is_active()) else { return "{}".into() };
         let report = |TeamUsage { team, version, usage }| {
             let report = TeamUsageReport {
                 version,
--- a/gateway/src/state/identity.rs
+++ b/gateway/src/state/identity.rs
@@ -63,7 +63,7 @@
             return Err(ClientReply::Denied(format!("NOAUTH {rejection}")));
         }
         // Either the token or a contract must limit the customers that the caller may act for.
-        let limits_customers = caller.customers.is_some() || self.broker.is_some();
+        let limits_customers = caller.customers.is_some() || self.has_contracts();
         if !limits_customers
             || !caller.is_allowed(&self.instance.operations[operation].name, command.customer)
         {
--- a/gateway/src/state/reducer.rs
+++ b/gateway/src/state/reducer.rs
@@ -72,7 +72,7 @@
     pub(super) admission: Option<AdmissionController>,
     /// Validates the tokens of callers; `None` without authentication.
     pub(super) identity: Option<Authenticator>,
-    /// Enforces contracts between teams; `None` without contracts.
+    /// Enforces contracts between teams; `None` if there have never been any.
     pub(super) broker: Option<BrokerState>,
     /// Tracks which instances reach the counter; `None` while membership is disabled.
     pub(super) membership: Option<MembershipState>,
--- a/gateway/tests/reducer/main.rs
+++ b/gateway/tests/reducer/main.rs
@@ -3,6 +3,7 @@
 
 mod admin;
 mod bench;
+mod contracts;
 mod counter;
 mod descriptors;
 mod operator_file;
