A refund goes to the limit of its own operation after a reload

Cause: a grant named the limit of its operation by the position in the contract, and the limiter kept its levels by position: contracts that are replaced with their limits in another order, under the same version, had a refund and the level of one operation's limit applied to another's. Change: a team keeps the positions of its limits' patterns for good, and a grant refers to these. Found by reading, while looking for numbers that outlive a reload.

--- a/broker/src/broker.rs
+++ b/broker/src/broker.rs
@@ -23,8 +23,10 @@
     name: String,
     /// Version of the team's contract in force; `None` without a contract.
     version: Option<u32>,
-    /// Limiter of single operations, by the index of the limit in the contract.
+    /// Limiter of single operations, by the position of the limit's pattern in `operation_patterns`.
     operation_limiter: FairShareLimiter,
+    /// The patterns of all limits that the team's contracts have had. Their positions do not change, as grants refer to them.
+    operation_patterns: Vec<String>,
     budget: BudgetAccount,
     usage: Usage,
 }
@@ -35,10 +37,20 @@
             name: name.to_owned(),
             version: None,
             operation_limiter: FairShareLimiter::new(0.0, 0.0),
+            operation_patterns: vec![],
             budget: BudgetAccount::default(),
             usage: Usage::default(),
         }
     }
+
+    /// Returns the position of a pattern; a new pattern gets a new position.
+    fn operation_limit(&mut self, pattern: &str) -> usize {
+        let known = self.operation_patterns.iter().position(|known| known == pattern);
+        known.unwrap_or_else(|| {
+            self.operation_patterns.push(pattern.to_owned());
+            self.operation_patterns.len() - 1
+        })
+    }
 }
 
 impl Broker {
@@ -113,7 +125,7 @@
     pub fn refund(&mut self, grant: &Grant) {
         self.limiter.refund(grant.team, grant.units, grant.source);
         let team = &mut self.teams[grant.team];
-        if let Some(limit) = grant.operation_limit.filter(|_| team.version == Some(grant.version)) {
+        if let Some(limit) = grant.operation_limit {
             team.operation_limiter.refund(limit, grant.units, Source::Own);
         }
         team.budget.refund(grant.units);
@@ -173,13 +185,15 @@
             self.limiter.set_terms(now, id, contract_terms(contract, instance_fraction));
             team.version = contract.map(|contract| contract.version);
             let limits = contract.map_or(&[][..], |contract| &contract.operation_limits);
-            for (index, limit) in limits.iter().enumerate() {
+            // The first of several limits with one pattern counts, so it is applied last.
+            for limit in limits.iter().rev() {
                 let terms = Terms {
                     rate: limit.rate * instance_fraction,
                     burst: limit.burst * instance_fraction,
                     weight: 1.0,
                 };
-                team.operation_limiter.set_terms(now, index, terms);
+                let position = team.operation_limit(&limit.operation);
+                team.operation_limiter.set_terms(now, position, terms);
             }
         }
     }
@@ -188,8 +202,9 @@
     /// units taken before are refunded.
     fn request_units(&mut self, now: f64, id: TeamId, contract: &Contract, request: Request) -> Response {
         let units = request.units;
-        let operation_limit = contract.operation_limit(request.operation);
         let team = &mut self.teams[id];
+        let operation_limit =
+            contract.operation_limit(request.operation).map(|limit| team.operation_limit(&limit.operation));
         if let Some(limit) = operation_limit {
             if let Err(error) = team.operation_limiter.try_take(now, limit, units) {
                 return retry_after(error, Reason::OperationRate);
--- a/broker/src/contract/mod.rs
+++ b/broker/src/contract/mod.rs
@@ -62,9 +62,9 @@
         matches_any(&self.operations, operation)
     }
 
-    /// Returns the index in `operation_limits` of the first limit that matches an operation.
-    pub fn operation_limit(&self, operation: &str) -> Option<usize> {
-        self.operation_limits.iter().position(|limit| matches(&limit.operation, operation))
+    /// Returns the first limit that matches an operation.
+    pub fn operation_limit(&self, operation: &str) -> Option<&OperationLimit> {
+        self.operation_limits.iter().find(|limit| matches(&limit.operation, operation))
     }
 
     /// Returns whether both contracts are valid at some time.
--- a/broker/tests/broker.rs
+++ b/broker/tests/broker.rs
@@ -221,6 +221,25 @@
     assert!(matches!(verdict, Verdict::RetryAfter { .. } | Verdict::Grant(_)), "{verdict:?}");
 }
 
+/// Guards against units that are refunded to another operation: a grant named its limit by its position in the contract, and contracts
+/// that are replaced may have their limits in another order.
+#[test]
+fn a_refund_goes_to_the_limit_of_its_operation_after_limits_were_reordered() {
+    let limit = |operation: &str| OperationLimit { operation: operation.into(), rate: 0.001, burst: 2.0 };
+    let with_limits = |operations: [&str; 2]| Contract {
+        operation_limits: operations.map(limit).into(),
+        ..contract("t", 100.0, 100.0)
+    };
+    let mut broker = new_broker(vec![with_limits(["order", "look"])], 100.0);
+    let [order, look] = ["order", "look"].map(|operation| Request { units: 2.0, ..one_unit(operation, 1) });
+    let Verdict::Grant(unused) = request(&mut broker, START, 0, order) else { panic!("a full bucket") };
+    assert!(is_granted(&mut broker, START, 0, look));
+    broker.set_contracts(START, contracts(vec![with_limits(["look", "order"])], 100.0), 100.0);
+    broker.refund(&unused);
+    assert!(!is_granted(&mut broker, START, 0, look), "the units of an order were refunded to look-ups");
+    assert!(is_granted(&mut broker, START, 0, order), "the refunded units are available again");
+}
+
 /// A broker of one team whose counter answers each call at once.
 struct BudgetedTeam {
     broker: Broker,
