--- a/broker/src/verdict.rs
+++ b/broker/src/verdict.rs
@@ -88,6 +88,6 @@
     pub units: f64,
     /// The source of the units.
     pub(crate) source: Source,
-    /// Index of the operation limit that the units also count against.
+    /// Position of the pattern of the operation limit that the units also count against, at the team.
     pub(crate) operation_limit: Option<usize>,
 }
--- a/gateway/tests/client_disconnects/harness.rs
+++ b/gateway/tests/client_disconnects/harness.rs
@@ -2,8 +2,7 @@
 //! them.
 use crate::common::example_servers::{read_command, read_target, request, serve_connections, write_ok};
 use crate::common::{
-    endpoint_list, free_listener, serve_endpoints, with_initial_backends, FullBacklogBackend, ListedBackend,
-    TestGateway,
+    self, endpoint_list, free_listener, with_initial_backends, FullBacklogBackend, ListedBackend, TestGateway,
 };
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -12,6 +11,8 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+pub use crate::common::unchanged;
+
 pub const TENTH_OF_A_SECOND: Duration = Duration::from_millis(100);
 /// Time after a disconnect during which a backend must receive no request of that client.
 pub const OBSERVATION_TIME: Duration = Duration::from_millis(400);
@@ -204,10 +205,6 @@
     }
 }
 
-pub fn unchanged(configuration: String) -> String {
-    configuration
-}
-
 /// Returns the configuration with long timeouts for all but the clients, and with a quota that is never
 /// exhausted. With the usual timeout, a late response of the counter on a busy machine would make the gateway
 /// open another connection to it, for which the tests with few descriptors have no descriptor.
@@ -219,24 +216,29 @@
         .replace("\"counter_timeout_us\": 80000", "\"counter_timeout_us\": 2000000")
 }
 
-/// Starts an instance with one backend in its initial endpoint list.
+/// Starts an instance with one backend in its initial endpoint list, and waits until it has logged the end of the
+/// connection that checked whether it listens.
 pub fn gateway_with_backend(
     name: &str,
     address: SocketAddr,
     change: impl Fn(String) -> String,
 ) -> TestGateway {
-    let backend = ListedBackend { name: "a", address };
-    let (list_service, list_service_address) = free_listener();
-    serve_endpoints(list_service, &[backend]);
-    start_gateway(name, list_service_address, |configuration| {
-        change(with_initial_backends(&with_long_timeouts(&configuration), &[backend]))
-    })
+    let gateway = common::gateway_with_backend(&test_name(name), address, |configuration| {
+        change(with_long_timeouts(&configuration))
+    });
+    wait_until_disconnect_is_logged(&gateway, Disconnect::Fin);
+    gateway
+}
+
+/// Returns the name of an instance among those of all tests.
+fn test_name(name: &str) -> String {
+    format!("leave-{name}")
 }
 
 /// Starts an instance, and waits until it has logged the end of the connection that checked whether it
 /// listens. The next disconnect in the log is that of a client of the test.
 fn start_gateway(name: &str, list_service: SocketAddr, change: impl Fn(String) -> String) -> TestGateway {
-    let gateway = TestGateway::start(&format!("leave-{name}"), list_service, change);
+    let gateway = TestGateway::start(&test_name(name), list_service, change);
     wait_until_disconnect_is_logged(&gateway, Disconnect::Fin);
     gateway
 }
