--- a/emulator/tests/emulator.rs
+++ b/emulator/tests/emulator.rs
@@ -105,6 +105,14 @@
     }
 }
 
+/// Guards against warming backends that get more than they can do: slow start holds on average, and not at every moment.
+#[test]
+fn warming_backends_are_not_overloaded_in_seeds_that_long_sweeps_found() {
+    for seed in [4175, 5008] {
+        assert_no_violation(&format!("seed {seed}"), &simulate(&Scenario::generate(seed), None));
+    }
+}
+
 #[test]
 fn repeated_execution_and_throttling_after_execution_are_detected() {
     let detected = detected_invariants(InjectedDefect::RepeatsNonIdempotent, 6);
