Shutdown tests: SIGTERM and handover with a client that keeps sending

Cause: no test had a client that keeps sending after SIGTERM, or a request behind a pending one during a handover.

--- a/gateway/tests/reducer/shutdown.rs
+++ b/gateway/tests/reducer/shutdown.rs
@@ -432,3 +432,23 @@
     "#]],
     );
 }
+
+/// Guards against requests that are read and never answered during a handover, which shares the drain's code.
+#[test]
+fn requests_behind_a_pending_one_are_rejected_in_their_turn_during_a_handover() {
+    let mut bench = bench_replaced_by_a_new_process();
+    send_in_flight(&mut bench, 2, 4, 3000);
+    bench.event(Event::Shutdown).run_until(1.3).request(2, "look", 5).run_until(3.2);
+    assert_trace_of_clients(&mut bench, expect![[r#"
+        0.050 log: another process of this instance is running
+        0.100 log: shutting down: the next process accepts clients, this one answers its pending requests
+        0.100 stop accepting
+        0.100 announce a limit of 62 descriptors
+        0.290 client 1: -BUSY 500
+        0.290 close client 1 if idle
+        1.100 log: draining: further requests of 1 busy clients are rejected
+        3.050 client 2: -ERR failed
+        3.050 client 2: -BUSY 50
+        3.050 close client 2 if idle
+    "#]]);
+}
--- a/gateway/tests/shutdown.rs
+++ b/gateway/tests/shutdown.rs
@@ -26,6 +26,8 @@
 const CROSSING: Duration = Duration::from_millis(200);
 /// Time after an operator's request to drain by which no connection may hold a command of the last 2 s.
 const DRAIN_LIMIT: Duration = Duration::from_secs(4);
+/// Time from SIGTERM to the kill, with client timeouts of 3 s.
+const KILL_DELAY: Duration = Duration::from_millis(3700);
 
 /// Returns the configuration with this address for operators' calls.
 fn with_operators_at(address: SocketAddr) -> impl Fn(String) -> String {
@@ -201,3 +203,31 @@
     // Fewer than 65,536 in all, as the connection of a client with more commands in the buffer is closed.
     assert_a_busy_client_is_disconnected_in_time("saturating", Duration::from_micros(50));
 }
+
+/// Guards against a shutdown that is late, or leaves commands unanswered, because a client keeps sending: the
+/// process exits before the kill, and only what crosses the end of the connection has no reply.
+#[test]
+fn a_client_that_keeps_sending_after_sigterm_is_answered_and_the_process_exits_before_the_kill() {
+    let (backend, address) = free_listener();
+    let commands = unresponsive_backend(backend);
+    let mut gateway = gateway_with_backend("keeps-sending", address, unchanged);
+    let mut client = gateway.connect();
+    send_request(&mut client, "order", 3000);
+    commands.recv_timeout(5 * SECOND).expect("the request is forwarded");
+    let signalled_at = Instant::now();
+    gateway.signal(Signal::SIGTERM);
+    let sender =
+        send_requests(client.try_clone().expect("the socket handle is duplicated"), Duration::from_millis(5));
+    let replies = read_to_end(client);
+    let ended_at = Instant::now();
+    let sent_at = sender.join().expect("the sender ends");
+    assert_eq!(gateway.exit_code(), Some(0));
+    assert!(signalled_at.elapsed() < KILL_DELAY, "exited after {:?}", signalled_at.elapsed());
+    let answered = replies.lines().count().checked_sub(1).expect("the order is answered");
+    assert!(0 < answered && answered < sent_at.len(), "{answered} replies to {} commands", sent_at.len());
+    let first_unanswered = ended_at.saturating_duration_since(sent_at[answered]);
+    assert!(
+        first_unanswered < CROSSING,
+        "the first command without a reply: {first_unanswered:?} before the end"
+    );
+}
