--- a/gateway/tests/reducer/shutdown.rs
+++ b/gateway/tests/reducer/shutdown.rs
@@ -439,7 +439,9 @@
     let mut bench = bench_replaced_by_a_new_process();
     send_in_flight(&mut bench, 2, 4, 3000);
     bench.event(Event::Shutdown).run_until(1.3).request(2, "look", 5).run_until(3.2);
-    assert_trace_of_clients(&mut bench, expect![[r#"
+    assert_trace_of_clients(
+        &mut bench,
+        expect![[r#"
         0.050 log: another process of this instance is running
         0.100 log: shutting down: the next process accepts clients, this one answers its pending requests
         0.100 stop accepting
@@ -450,5 +452,6 @@
         3.050 client 2: -ERR failed
         3.050 client 2: -BUSY 50
         3.050 close client 2 if idle
-    "#]]);
+    "#]],
+    );
 }
