--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,36 +11,44 @@
 
 
 class Link:
-    """A proxy for one direction between members. While it is cut, it keeps what arrives and passes it on afterwards, as a
-    network does: the sender's system sends again."""
+    """A proxy for one direction between members. While it is cut, it keeps what arrives and passes it on afterwards in the
+    order of arrival, as a network does: the sender's system sends again."""
 
-    def __init__(self, target):
-        self.target = target
-        self.open = asyncio.Event()
-        self.open.set()
+    def __init__(self, target, record):
+        self.target, self.record = target, record
+        self.arrived, self.is_open = asyncio.Queue(), asyncio.Event()
+        self.is_open.set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.carry, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self.receive, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
+        self.passing = asyncio.create_task(self.pass_on())
 
-    async def carry(self, reader, writer):
-        onward = None
+    async def receive(self, reader, writer):
+        connection = object()
         try:
-            while True:
-                data = await reader.read(1 << 16)
-                await self.open.wait()
-                if onward is None:
-                    _, onward = await asyncio.open_connection("127.0.0.1", self.target)
-                if not data:
-                    break
-                onward.write(data)
-                await onward.drain()
+            while data := await reader.read(1 << 16):
+                self.arrived.put_nowait((connection, data))
         except ConnectionError:
             pass
-        finally:
-            writer.close()
-            if onward is not None:
-                onward.close()
+        self.arrived.put_nowait((connection, b""))
+        writer.close()
+
+    async def pass_on(self):
+        onward = {}
+        while True:
+            connection, data = await self.arrived.get()
+            await self.is_open.wait()
+            try:
+                if connection not in onward:
+                    await asyncio.sleep(0.02)  # a new connection comes up a little later
+                    onward[connection] = (await asyncio.open_connection("127.0.0.1", self.target))[1]
+                if data:
+                    onward[connection].write(data)
+                else:
+                    onward.pop(connection).close()
+            except OSError as error:
+                self.record("link to", self.target, repr(error))
 
 
 async def add(record, port, name, amount):
@@ -69,7 +77,7 @@
     ports = free_ports(6)
     clients, peers = dict(zip((1, 2, 3), ports[:3])), dict(zip((1, 2, 3), ports[3:]))
     # Member 3 reaches the others over links that the case can cut.
-    links = {1: Link(peers[1]), 2: Link(peers[2])}
+    links = {id: Link(peers[id], record) for id in (1, 2)}
     for link in links.values():
         await link.start()
     seen_by_3 = {1: links[1].port, 2: links[2].port, 3: peers[3]}
@@ -105,7 +113,7 @@
     if TROUBLE:
         record.say("what member 3 sends is cut off")
         for link in links.values():
-            link.open.clear()
+            link.is_open.clear()
     before = [asyncio.create_task(add(record, clients[3], f"before-{i}", 1000 + i)) for i in range(CALLS)]
     await asyncio.sleep(0.05)
     if TROUBLE:
@@ -127,7 +135,7 @@
     if TROUBLE:
         record.say("the cut is over")
         for link in links.values():
-            link.open.set()
+            link.is_open.set()
     totals = await asyncio.gather(*after)
     wrong = [(f"after-{i}", total) for i, total in enumerate(totals) if isinstance(total, float) and total != 1 + i]
     right = sum(total == 1 + i for i, total in enumerate(totals))
--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -35,23 +36,23 @@
         print(*words, flush=True)
 
 
+def free_ports(count, kind=socket.SOCK_STREAM):
+    """Different free ports, below those that the system gives to outgoing connections, so that they stay free."""
+    ports = []
+    for port in random.sample(range(12000, 30000), 2000):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise OSError("no free ports")
+
+
 def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-def free_ports(count):
-    """Different free ports."""
-    probes = []
-    for _ in range(count):
-        probe = socket.socket()
-        probe.bind(("127.0.0.1", 0))
-        probes.append(probe)
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
+    return free_ports(1, kind)[0]
 
 
 def bulk(*words):
