--- a/review/tried-2/cut_off_value/case.py
+++ b/review/tried-2/cut_off_value/case.py
@@ -3,7 +3,7 @@
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib2"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(HERE)), "lib2"))
 from standins import *  # noqa: E402,F403
 
 CLIENTS = 5
