--- a/review/7/case.py
+++ b/review/7/case.py
@@ -109,7 +109,9 @@
     ran = {request for backend in backends for request in backend.ran}
     lost = 0
     for client in clients:
-        unanswered = [request.decode() for request in client.sent[len(client.answers):] if request in ran]
+        # An answer that had begun to arrive is not counted: its client can tell that it is not whole.
+        first = len(client.answers) + (1 if client.buffer else 0)
+        unanswered = [request.decode() for request in client.sent[first:] if request in ran]
         wrong = [answer for request, answer in zip(client.sent, client.answers)
                  if not answer.startswith(b"-") and answer != content(request)]
         record.say(f"client {client.number}: sent {len(client.sent)}, answers {len(client.answers)} "
--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -408,6 +408,7 @@
 def main(folder, case, limit=110.0):
     """Runs `case(record, processes)`, which returns HELD, BROKEN or NOT_RUN; ends all processes."""
     record, processes = Record(folder), Processes()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # the processes are ended then too
     record("TROUBLE", int(TROUBLE))
 
     async def limited():
