Close: output that a client has not received survives its next command

Cause: finish_closing shut a connection down in both directions and closed it as soon as the kernel had accepted its output. With the client's receive window full, that output was still in the send queue; the client's next command reached a closed socket, the kernel reset the connection and discarded the queue. The same close served drains, idle connections and ends after protocol errors.

Change: while bytes of the send queue are not acknowledged (TIOCOUTQ), the connection is shut down for writing only and kept, unread, until they are, until the peer is silent for 10 s (2 s while descriptors are short), or for 30 s. The exit waits for these connections until 0.1 s before the kill.

All other tests of the gateway pass.

--- a/gateway/src/sockets/connection/context.rs
+++ b/gateway/src/sockets/connection/context.rs
@@ -1,4 +1,5 @@
 //! State that all connections share: the read buffer, and counts of what they use with the limits on it.
+use super::lingering::LingeringConnections;
 use super::{Connection, READ_BUFFER_BYTES};
 use crate::sockets::event_queue::EventQueue;
 use atomic_refcell::AtomicRefCell;
@@ -40,6 +41,8 @@
     /// Clients' connections that are not read again until the driver's timer expires, so that other
     /// connections are served first.
     pub(super) paused_clients: AtomicRefCell<Vec<Arc<Connection>>>,
+    /// Connections that were shut down and whose output is not acknowledged yet.
+    pub(super) lingering: LingeringConnections,
     /// Length of the parts of streamed values that wait for clients, in bytes.
     pub(super) buffered_stream_bytes: AtomicUsize,
     /// Threshold of `buffered_stream_bytes` above which the limit for each value is lowered.
@@ -71,6 +74,7 @@
             exempt_client: AtomicUsize::new(0),
             waiting_for_capacity: AtomicRefCell::default(),
             paused_clients: AtomicRefCell::default(),
+            lingering: LingeringConnections::default(),
             buffered_stream_bytes: AtomicUsize::new(0),
             max_buffered_stream_bytes: memory_bytes / STREAM_MEMORY_DIVISOR,
             descriptors_exhausted: AtomicBool::new(false),
@@ -98,6 +102,16 @@
         }
     }
 
+    /// Whether the output of a connection that was shut down is not acknowledged yet.
+    pub fn has_lingering(&self) -> bool {
+        !self.lingering.is_empty()
+    }
+
+    /// Closes the connections that were shut down and whose output is acknowledged.
+    pub fn close_lingering(&self) {
+        self.lingering.close_finished(self.descriptors_exhausted.load(Ordering::Relaxed));
+    }
+
     /// Whether the maximum number of clients is connected.
     pub fn client_limit_reached(&self) -> bool {
         self.open_clients.load(Ordering::Relaxed) >= self.max_clients
--- a/gateway/src/sockets/connection/mod.rs
+++ b/gateway/src/sockets/connection/mod.rs
@@ -3,6 +3,7 @@
 mod context;
 mod decoding;
 mod lifecycle;
+mod lingering;
 mod read_loop;
 mod sink;
 mod streaming;
--- a/gateway/src/sockets/connection/read_loop.rs
+++ b/gateway/src/sockets/connection/read_loop.rs
@@ -126,16 +126,29 @@
         let connection = self.connection;
         let flushes = matches!(connection.id, ConnectionId::Client(_) | ConnectionId::Admin(_));
         if connection.is_flushed() || !flushes || flags & ENDED != 0 {
-            // A shutdown would end the connection in order, and hide from the client that something was not read.
-            if !connection.reading_stopped.load(Ordering::Relaxed) {
-                let _ = connection.stream.inner().shutdown(Shutdown::Both);
-            }
+            self.shut_down(flushes && flags & ENDED == 0);
             return Err(ConnectionEnd::Closed);
         }
         connection.reader.borrow_mut().discard = true;
         Ok(())
     }
 
+    /// Shuts the connection down. `delivers_output`: whether the descriptor is kept until the peer has received all
+    /// output; nothing more is read meanwhile.
+    fn shut_down(&self, delivers_output: bool) {
+        let connection = self.connection;
+        let lingers = delivers_output && connection.unacknowledged_bytes() > 0;
+        // A shutdown would end the connection in order, and hide from the client that something was not read.
+        if !connection.reading_stopped.load(Ordering::Relaxed) {
+            let direction = if lingers { Shutdown::Write } else { Shutdown::Both };
+            let _ = connection.stream.inner().shutdown(direction);
+        }
+        if lingers {
+            connection.context.lingering.add(connection);
+            connection.context.events.wake();
+        }
+    }
+
     /// Reads the input that is ready, unless reading is paused.
     fn read_unread(&mut self, ended: bool) -> Result<(), CloseReason> {
         let reading_stopped = self.connection.reading_stopped.load(Ordering::Relaxed);
--- a/gateway/src/sockets/driver.rs
+++ b/gateway/src/sockets/driver.rs
@@ -35,6 +35,8 @@
 
 /// Interval at which a process that is shutting down checks whether all output has been written, in seconds.
 const EXIT_CHECK_INTERVAL: f64 = 0.005;
+/// Interval at which connections that were shut down are checked for unacknowledged output, in seconds.
+const LINGER_CHECK_INTERVAL: f64 = 0.02;
 /// Pause between two turns of reading from a client whose input is dropped or discarded, in seconds. A client
 /// that has left may leave about 10 MiB in the socket buffers of both machines (the maxima of `tcp_wmem` and
 /// `tcp_rmem`), all of which must be read well within 0.1 s.
@@ -78,6 +80,7 @@
         loop {
             let wake_at = self.step(&mut reducer, &mut events, &mut batch);
             batch.closing.retain(|connection| !connection.is_flushed());
+            self.context.close_lingering();
             let now = self.clock.now();
             let wake_at = self.next_wake(now, wake_at, &reducer, &mut batch);
             if let Some(wake_at) = wake_at.filter(|wake_at| *wake_at < timer_at || timer_at <= now) {
@@ -103,12 +106,18 @@
         // is served.
         batch.exit_at = batch.exit_at.filter(|_| reducer.is_done());
         let wake_at = match batch.exit_at {
-            Some(exit_at) if now >= exit_at && batch.closing.is_empty() => exit(),
+            Some(exit_at) if now >= exit_at && !self.has_undelivered_output(batch) => exit(),
             Some(_) => Some(now + EXIT_CHECK_INTERVAL),
             None => reducer_wake,
         };
         let resume_at = self.context.has_paused().then_some(now + READ_PAUSE);
-        wake_at.into_iter().chain(resume_at).reduce(f64::min)
+        let linger_check_at = self.context.has_lingering().then_some(now + LINGER_CHECK_INTERVAL);
+        wake_at.into_iter().chain(resume_at).chain(linger_check_at).reduce(f64::min)
+    }
+
+    /// Whether clients of closed connections have not received all of their output yet.
+    fn has_undelivered_output(&self, batch: &Batch) -> bool {
+        !batch.closing.is_empty() || self.context.has_lingering()
     }
 
     /// Handles a batch of events; returns when the reducer is to be polled next, in seconds since 1970.
--- a/gateway/tests/shutdown.rs
+++ b/gateway/tests/shutdown.rs
@@ -12,7 +12,7 @@
 use common::example_servers::{self, read_command, request, serve_connections};
 use common::{
     admin_call, free_listener, gateway_with_backend, read_to_end, send_request, unchanged, unique_address,
-    unresponsive_backend, PING,
+    unresponsive_backend, TestGateway, PING,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -147,6 +147,63 @@
     assert_eq!(gateway.exit_code(), Some(0));
 }
 
+/// Lets a client that has not read its replies yet send a command after the gateway has closed its connection, and
+/// checks that it can read all replies all the same. `end_connection` makes the gateway close the connection.
+fn assert_written_replies_survive_the_close(name: &str, end_connection: impl Fn(&TestGateway, SocketAddr)) {
+    const REQUESTS: usize = 6;
+    let (backend, address) = free_listener();
+    let replies = backend_with_values_of(backend, 60_000);
+    let operators = unique_address(7404);
+    let gateway = gateway_with_backend(name, address, |configuration| {
+        with_operators_at(operators)(with_large_quota(configuration))
+    });
+    let mut client = gateway.connect();
+    let receive_buffer = socket2::SockRef::from(&client).set_recv_buffer_size(SMALL_RECEIVE_BUFFER_BYTES);
+    receive_buffer.expect("an open socket");
+    let requests: String = (0..REQUESTS).map(|_| request("look", 1500)).collect();
+    client.write_all(requests.as_bytes()).expect("the gateway accepts input");
+    assert_eq!(wait_for_last_reply(&replies), REQUESTS);
+    end_connection(&gateway, operators);
+    sleep(8 * TENTH_OF_A_SECOND);
+    client.write_all(PING).expect("the reset has not arrived yet");
+    sleep(2 * TENTH_OF_A_SECOND);
+    assert_eq!(count_replies(client), REQUESTS);
+}
+
+/// Guards against answers of executed requests that are lost at a shutdown: the connection was closed while they were
+/// in the kernel's send queue, and the client's next command reset it.
+#[test]
+fn replies_in_the_send_queue_reach_a_client_that_sends_a_command_after_sigterm() {
+    assert_written_replies_survive_the_close("linger-sigterm", |gateway, _| gateway.signal(Signal::SIGTERM));
+}
+
+/// Guards against the same at an operator's drain.
+#[test]
+fn replies_in_the_send_queue_reach_a_client_that_sends_a_command_after_a_drain() {
+    assert_written_replies_survive_the_close("linger-drain", |_, operators| {
+        assert_eq!(admin_call(operators, "POST /healthcheck/fail"), "200 done");
+    });
+}
+
+/// Guards against a process that waits for a client that never reads: it exits before the kill.
+#[test]
+fn a_client_that_never_reads_does_not_delay_the_exit_past_the_kill() {
+    let (backend, address) = free_listener();
+    let replies = backend_with_values_of(backend, 60_000);
+    let mut gateway = gateway_with_backend("linger-exit", address, with_large_quota);
+    let mut client = gateway.connect();
+    let receive_buffer = socket2::SockRef::from(&client).set_recv_buffer_size(SMALL_RECEIVE_BUFFER_BYTES);
+    receive_buffer.expect("an open socket");
+    let requests: String = (0..6).map(|_| request("look", 1500)).collect();
+    client.write_all(requests.as_bytes()).expect("the gateway accepts input");
+    wait_for_last_reply(&replies);
+    let stopped_at = Instant::now();
+    gateway.signal(Signal::SIGTERM);
+    assert_eq!(gateway.exit_code(), Some(0));
+    assert!(stopped_at.elapsed() < KILL_DELAY, "exited {:?} after SIGTERM", stopped_at.elapsed());
+    drop(client);
+}
+
 /// Sends a `look` every `interval` until the connection ends; returns the times before each write.
 fn send_requests(mut client: TcpStream, interval: Duration) -> JoinHandle<Vec<Instant>> {
     spawn(move || {
