Memory: one budget for all connections' buffers; a command beyond it is rejected

Cause: a complete command of up to 64 KiB was kept whole while it waited, up to 512 for each connection, and counted against no limit. Limits existed for incomplete and for long commands, one each, and none on the sum.

Change: MemoryBudget counts undecoded input, pending commands and unwritten output of every connection, once each. A connection keeps a share; what does not fit is rejected in its turn with -BUSY and a time. /stats shows buffered_bytes and rejected_out_of_memory.

--- a/gateway/src/sockets/connection/capacity.rs
+++ b/gateway/src/sockets/connection/capacity.rs
@@ -1,6 +1,7 @@
 //! Accounting of clients' pending, incomplete and long commands against the limits that all clients share. A
 //! command is long if it exceeds `resp::MAX_MESSAGE_BYTES`.
 use super::{Connection, READ_BUFFER_BYTES};
+use crate::state::memory_budget::MemoryUse;
 use crate::wire::resp;
 use atomic_refcell::AtomicRefCell;
 use std::collections::VecDeque;
@@ -9,13 +10,18 @@
 /// Number of pending commands of one client at which no more of its commands are decoded.
 const MAX_PENDING_COMMANDS: usize = 512;
 
+/// Memory of a pending request beside its message, in bytes: the state of the request and of its attempts.
+const REQUEST_STATE_BYTES: usize = 1024;
+
 /// Commands of a client that have no reply yet.
 #[derive(Default)]
 pub(super) struct PendingCommands {
     /// Number of these commands.
     count: AtomicUsize,
-    /// Length of each of these commands in bytes if it is long, otherwise 0; oldest first.
-    long_lengths: AtomicRefCell<VecDeque<usize>>,
+    /// Length of the message of each of these commands in bytes if it is stored, otherwise 0; oldest first.
+    lengths: AtomicRefCell<VecDeque<usize>>,
+    /// Memory of these commands in bytes.
+    bytes: AtomicUsize,
     /// Set while further commands have been read but are not decoded until some of these are answered.
     pub postponed: AtomicBool,
     /// Set while the connection waits for memory for a long command.
@@ -35,11 +41,20 @@
 }
 
 impl Connection {
-    /// Counts a decoded command. `long_bytes` is its length if it is long, otherwise 0.
-    pub(super) fn count_command(&self, long_bytes: usize) {
-        self.pending_commands.count.fetch_add(1, Ordering::Relaxed);
-        self.pending_commands.long_lengths.borrow_mut().push_back(long_bytes);
-        self.context.long_command_bytes.fetch_add(long_bytes, Ordering::Relaxed);
+    /// Counts a decoded command. `stored_bytes` is the length of its message if it is stored, otherwise 0.
+    pub(super) fn count_command(&self, stored_bytes: usize) {
+        let pending = &self.pending_commands;
+        pending.count.fetch_add(1, Ordering::Relaxed);
+        pending.lengths.borrow_mut().push_back(stored_bytes);
+        let bytes = pending.bytes.fetch_add(command_memory(stored_bytes), Ordering::Relaxed);
+        self.memory.set(MemoryUse::Commands, bytes + command_memory(stored_bytes));
+        self.context.long_command_bytes.fetch_add(long_bytes(stored_bytes), Ordering::Relaxed);
+    }
+
+    /// Whether there is memory to store a request with a message of this length. A long one has waited for memory
+    /// of its own.
+    pub(super) fn can_store_request(&self, length: usize) -> bool {
+        length > resp::MAX_MESSAGE_BYTES || self.memory.allows(command_memory(length))
     }
 
     /// Records the reply to the oldest pending command, and wakes the connection if it was at the maximum.
@@ -47,15 +62,19 @@
         if self.pending_commands.count.fetch_sub(1, Ordering::Relaxed) == MAX_PENDING_COMMANDS {
             self.waker.wakeup();
         }
-        let length = self.pending_commands.long_lengths.borrow_mut().pop_front();
-        if let Some(length) = length.filter(|length| *length > 0) {
+        let Some(length) = self.pending_commands.lengths.borrow_mut().pop_front() else { return };
+        let bytes = self.pending_commands.bytes.fetch_sub(command_memory(length), Ordering::Relaxed);
+        self.memory.set(MemoryUse::Commands, bytes - command_memory(length));
+        if long_bytes(length) > 0 {
             self.release_long_bytes(length);
         }
     }
 
     /// Releases the memory of all pending commands when the connection has ended.
     pub(super) fn release_commands(&self) {
-        let released_bytes: usize = self.pending_commands.long_lengths.borrow_mut().drain(..).sum();
+        let released_bytes = self.pending_commands.lengths.borrow_mut().drain(..).map(long_bytes).sum();
+        self.pending_commands.bytes.store(0, Ordering::Relaxed);
+        self.memory.set(MemoryUse::Commands, 0);
         self.release_long_bytes(released_bytes);
     }
 
@@ -111,6 +130,15 @@
     }
 }
 
+/// Returns the memory of a pending command whose stored message has this length; 0 if nothing is stored.
+fn command_memory(length: usize) -> usize {
+    if length > 0 {
+        length + REQUEST_STATE_BYTES
+    } else {
+        0
+    }
+}
+
 /// Returns the length if the message is long, otherwise 0.
 fn long_bytes(length: usize) -> usize {
     if length > resp::MAX_MESSAGE_BYTES {
--- a/gateway/src/sockets/connection/context.rs
+++ b/gateway/src/sockets/connection/context.rs
@@ -2,6 +2,8 @@
 use super::lingering::LingeringConnections;
 use super::{Connection, READ_BUFFER_BYTES};
 use crate::sockets::event_queue::EventQueue;
+use crate::state::memory_budget::{MemoryBudget, MemoryUse};
+use crate::state::stats::BufferedBytes;
 use atomic_refcell::AtomicRefCell;
 use may::io::WaitIoWaker;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -22,6 +24,8 @@
 pub struct ConnectionContext {
     /// The queue of events for the reducer.
     pub events: Arc<EventQueue>,
+    /// The memory that connections' buffers may take.
+    pub memory: Arc<MemoryBudget>,
     /// The buffer that every connection reads into.
     pub(super) read_buffer: AtomicRefCell<Vec<u8>>,
     /// Length of all clients' incomplete commands that are not long, in bytes.
@@ -65,6 +69,7 @@
         let command_memory = memory_bytes / COMMAND_MEMORY_DIVISOR;
         Arc::new(ConnectionContext {
             events,
+            memory: MemoryBudget::new(memory_bytes),
             read_buffer: AtomicRefCell::new(vec![0; READ_BUFFER_BYTES]),
             partial_bytes: AtomicUsize::new(0),
             max_partial_bytes: command_memory,
@@ -85,6 +90,16 @@
         })
     }
 
+    /// Returns what connections' buffers hold.
+    pub fn buffered_bytes(&self) -> BufferedBytes {
+        BufferedBytes {
+            input: self.memory.used_for(MemoryUse::Input),
+            commands: self.memory.used_for(MemoryUse::Commands),
+            output: self.memory.used_for(MemoryUse::Output),
+            limit: self.memory.max_bytes(),
+        }
+    }
+
     /// Wakes all acceptors.
     pub fn wake_acceptors(&self) {
         self.acceptors.borrow().iter().for_each(WaitIoWaker::wakeup);
--- a/gateway/src/sockets/connection/lifecycle.rs
+++ b/gateway/src/sockets/connection/lifecycle.rs
@@ -5,6 +5,7 @@
 use super::{Connection, ConnectionContext};
 use crate::state::connection::ConnectionId;
 use crate::state::framing::MessageReader;
+use crate::state::memory_budget::{HeldMemory, MemoryUse};
 use atomic_refcell::AtomicRefCell;
 use may::io::{CoIo, WaitIo};
 use std::io::{Error, ErrorKind};
@@ -66,6 +67,7 @@
             operator_answered: AtomicBool::new(false),
             reading_stopped: AtomicBool::new(false),
             reports_written_output: AtomicBool::new(false),
+            memory: HeldMemory::new(context.memory.clone()),
             pending_commands: PendingCommands::default(),
             stream_source: StreamSource::new(),
             stream_target: StreamTarget::default(),
@@ -90,6 +92,7 @@
         // `closed` also ends streaming from and to this connection.
         self.closed.store(true, Ordering::Relaxed);
         self.count_buffered_stream(0);
+        self.memory.set(MemoryUse::Input, 0);
         self.release_commands();
         self.detach_streams();
     }
--- a/gateway/src/sockets/connection/mod.rs
+++ b/gateway/src/sockets/connection/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::state::connection::ConnectionId;
 use crate::state::framing::MessageReader;
+use crate::state::memory_budget::HeldMemory;
 use crate::state::write_buffer::WriteBuffer;
 use atomic_refcell::AtomicRefCell;
 use capacity::PendingCommands;
@@ -41,7 +42,7 @@
 }
 
 /// Maximum capacity of a buffer that is kept while it is empty, in bytes; a larger one is freed.
-const MAX_RETAINED_BUFFER_BYTES: usize = 16 * 1024;
+const MAX_RETAINED_BUFFER_BYTES: usize = 4 * 1024;
 /// Size of the buffer that connections read into, in bytes: the maximum length of one read.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -65,6 +66,8 @@
     reading_stopped: AtomicBool,
     /// Set when the reducer is to be notified once all output is written.
     reports_written_output: AtomicBool,
+    /// The memory that its buffers and pending commands hold.
+    memory: HeldMemory,
     /// Commands of a client that have no reply yet.
     pending_commands: PendingCommands,
     /// For a backend's connection: the value that is streamed from it.
--- a/gateway/src/sockets/connection/read_loop.rs
+++ b/gateway/src/sockets/connection/read_loop.rs
@@ -4,6 +4,7 @@
 use crate::state::backlog::Backlog;
 use crate::state::connection::{CloseReason, ConnectionId};
 use crate::state::event::Event;
+use crate::state::memory_budget::MemoryUse;
 use crate::wire::resp;
 use may::io::WaitIo;
 use std::io::{ErrorKind, Read};
@@ -104,9 +105,9 @@
             let reset = self.unread_flags & ERROR != 0;
             return Err(ConnectionEnd::Lost(if reset { CloseReason::Reset } else { CloseReason::Closed }));
         }
-        self.decode_postponed()?;
-        self.read_unread(ended)?;
-        Ok(())
+        let result = self.decode_postponed().and_then(|()| self.read_unread(ended));
+        connection.memory.set(MemoryUse::Input, self.backlog.capacity());
+        Ok(result?)
     }
 
     /// Completes the connect, successfully or with an error.
--- a/gateway/src/sockets/connection/sink.rs
+++ b/gateway/src/sockets/connection/sink.rs
@@ -2,18 +2,39 @@
 use super::Connection;
 use crate::state::event::Event;
 use crate::state::framing::MessageSink;
+use crate::wire::resp::ClientCommand;
 
 /// Receives the decoded messages of one connection.
 pub(super) struct EventSink<'a>(pub &'a Connection);
 
-impl MessageSink for EventSink<'_> {
-    fn event(&mut self, event: Event, long_command_bytes: usize) {
-        if matches!(event, Event::StreamStarted(_)) {
-            self.0.stream_source.record_progress();
-        }
-        if matches!(event, Event::ClientCommand { .. }) {
-            self.0.count_command(long_command_bytes);
+impl EventSink<'_> {
+    /// Counts a command among the pending ones; returns it, or what takes its place if there is no memory for it.
+    fn count_command(&self, command: ClientCommand, message_bytes: usize) -> ClientCommand {
+        let ClientCommand::Request(request) = command else {
+            self.0.count_command(0);
+            return command;
+        };
+        if !self.0.can_store_request(message_bytes) {
+            self.0.count_command(0);
+            return ClientCommand::OutOfMemory { operation: request.operation().to_vec() };
         }
+        self.0.count_command(message_bytes);
+        ClientCommand::Request(request)
+    }
+}
+
+impl MessageSink for EventSink<'_> {
+    fn event(&mut self, event: Event, message_bytes: usize) {
+        let event = match event {
+            Event::ClientCommand { client, command } => {
+                Event::ClientCommand { client, command: self.count_command(command, message_bytes) }
+            }
+            Event::StreamStarted(_) => {
+                self.0.stream_source.record_progress();
+                event
+            }
+            _ => event,
+        };
         self.0.context.events.push(event);
     }
 
--- a/gateway/src/sockets/connection/writing.rs
+++ b/gateway/src/sockets/connection/writing.rs
@@ -2,6 +2,7 @@
 use super::{Connection, MAX_RETAINED_BUFFER_BYTES};
 use crate::state::connection::ConnectionId;
 use crate::state::event::Event;
+use crate::state::memory_budget::MemoryUse;
 use std::io::{ErrorKind, Write};
 use std::net::Shutdown;
 use std::sync::atomic::Ordering;
@@ -27,6 +28,7 @@
         }
         write_buffer.shrink(MAX_RETAINED_BUFFER_BYTES);
         let unwritten = write_buffer.len();
+        self.memory.set(MemoryUse::Output, write_buffer.capacity());
         drop(write_buffer);
         self.stream_flushed(unwritten);
         if unwritten == 0 && self.reports_written_output.swap(false, Ordering::Relaxed) {
--- a/gateway/src/sockets/driver.rs
+++ b/gateway/src/sockets/driver.rs
@@ -124,6 +124,7 @@
     fn step(&self, reducer: &mut Reducer, events: &mut Vec<Event>, batch: &mut Batch) -> Option<f64> {
         let now = self.clock.now();
         reducer.stats.attempts_written += self.context.written_attempts.swap(0, Ordering::Relaxed) as u64;
+        reducer.stats.buffered_bytes = self.context.buffered_bytes();
         for event in events.iter() {
             if let Event::ConnectionEnded { connection, .. } = event {
                 self.connections.remove(*connection);
--- a/gateway/src/state/backlog.rs
+++ b/gateway/src/state/backlog.rs
@@ -56,6 +56,11 @@
         self.bytes.len()
     }
 
+    /// Returns the memory of the buffer, in bytes.
+    pub fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Returns whether nothing is left to decode or to reject.
     pub fn is_empty(&self) -> bool {
         self.bytes.is_empty() && self.dropping.is_none()
--- a/gateway/src/state/clients.rs
+++ b/gateway/src/state/clients.rs
@@ -53,7 +53,8 @@
             ClientCommand::Ping => ClientReply::Error("draining".into()),
             ClientCommand::Auth(token) => self.authenticate_client(now, id, &token),
             ClientCommand::Invalid(error) => ClientReply::Error(error),
-            ClientCommand::Dropped => ClientReply::Busy { retry_after_ms: None },
+            ClientCommand::Dropped => ClientReply::busy(self.engine.retry_after_overload()),
+            ClientCommand::OutOfMemory { operation } => self.reject_out_of_memory(&operation),
             ClientCommand::ProtocolError(error) => {
                 client.has_protocol_error = true;
                 ClientReply::Error(format!("protocol: {error}"))
@@ -95,6 +96,16 @@
         }
     }
 
+    /// Counts a request of this operation that was not stored for lack of memory; returns the reply to it.
+    fn reject_out_of_memory(&mut self, operation: &[u8]) -> ClientReply {
+        let mut operations = self.instance.operations.iter();
+        if let Some(index) = operations.position(|known| known.name.as_bytes() == operation) {
+            self.stats.rejected[index] += 1;
+        }
+        self.stats.rejected_out_of_memory += 1;
+        ClientReply::busy(self.engine.retry_after_overload())
+    }
+
     /// Checks a request against admission limits, the caller's token and the contracts between teams, in this order.
     /// Returns the grant of the contract, or the reply that rejects the request.
     fn authorize(
--- a/gateway/src/state/framing.rs
+++ b/gateway/src/state/framing.rs
@@ -19,9 +19,8 @@
 
 /// Receiver of the events and streamed values that a [`MessageReader`] decodes.
 pub trait MessageSink {
-    /// Takes an event. `long_command_bytes`: the length of a long command, which counts against the memory for long
-    /// commands until its reply; 0 for other events.
-    fn event(&mut self, event: Event, long_command_bytes: usize);
+    /// Takes an event. `message_bytes`: the length of the message that it reports; 0 for other events.
+    fn event(&mut self, event: Event, message_bytes: usize);
     /// Takes a chunk of a value that is being forwarded. `is_last`: whether the value and the line end after
     /// it have now been received; the chunk may be empty then.
     fn body_chunk(&mut self, bytes: &[u8], is_last: bool);
@@ -93,8 +92,7 @@
             }
             match self.decode_one(rest, sink)? {
                 DecodeStep::Message { event, length } => {
-                    let is_long = length > resp::MAX_MESSAGE_BYTES;
-                    sink.event(event, if is_long { length } else { 0 });
+                    sink.event(event, length);
                     consumed += length;
                 }
                 DecodeStep::Consumed(length) => consumed += length,
--- a/gateway/src/state/mod.rs
+++ b/gateway/src/state/mod.rs
@@ -3,7 +3,8 @@
 //! `reducer` takes batches of `event`s and returns `effect`s. `dispatch` passes each event to the module that handles
 //! it, and `decisions` calls the policy engine. `connection`, `shared_state` and `log_message` define the values that
 //! events and effects carry. The tables (`requests`, `client_table`, `backend_table`, `counter_table`, `timers`) hold
-//! the state that several modules use. `backlog`, `framing` and `write_buffer` handle the bytes of one connection.
+//! the state that several modules use. `backlog`, `framing` and `write_buffer` handle the bytes of one connection,
+//! `memory_budget` counts those of all.
 mod admin;
 mod admission;
 mod attempts;
@@ -29,11 +30,12 @@
 mod idle;
 pub mod log_message;
 mod membership;
+pub mod memory_budget;
 pub mod reducer;
 mod requests;
 pub mod shared_state;
 mod shutdown;
-mod stats;
+pub mod stats;
 mod streams;
 mod timers;
 mod validation;
--- a/gateway/src/state/stats.rs
+++ b/gateway/src/state/stats.rs
@@ -4,6 +4,19 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 
+/// What connections' buffers hold, in bytes.
+#[derive(Clone, Copy, Default, Serialize)]
+pub struct BufferedBytes {
+    /// Input that is not decoded yet.
+    pub input: usize,
+    /// Commands that have no reply yet.
+    pub commands: usize,
+    /// Output that is not written yet.
+    pub output: usize,
+    /// Maximum of the sum.
+    pub limit: usize,
+}
+
 /// Counters since the start of the process. Counts of requests are by operation.
 #[derive(Default)]
 pub struct Stats {
@@ -15,6 +28,10 @@
     pub failed: Vec<u64>,
     /// Requests rejected because the instance drains and their connections are to end, of all operations.
     pub rejected_while_draining: u64,
+    /// Requests rejected because clients' commands take too much memory, of all operations.
+    pub rejected_out_of_memory: u64,
+    /// Bytes that connections' buffers hold.
+    pub buffered_bytes: BufferedBytes,
     /// Number of attempts written to backends.
     pub attempts_written: u64,
     /// Number of successful reloads of the configuration.
@@ -38,6 +55,8 @@
     rejected: BTreeMap<&'a str, u64>,
     failed: BTreeMap<&'a str, u64>,
     rejected_while_draining: u64,
+    rejected_out_of_memory: u64,
+    buffered_bytes: BufferedBytes,
     upstream_requests: u64,
     pending: usize,
     #[serde(rename = "members")]
@@ -63,6 +82,8 @@
             rejected: by_operation(&self.stats.rejected),
             failed: by_operation(&self.stats.failed),
             rejected_while_draining: self.stats.rejected_while_draining,
+            rejected_out_of_memory: self.stats.rejected_out_of_memory,
+            buffered_bytes: self.stats.buffered_bytes,
             upstream_requests: self.stats.attempts_written,
             pending: self.requests.slots.iter().filter(|pending| !pending.is_closed).count(),
             backends: entries.filter(|entry| entry.status != EndpointStatus::Removed).count(),
--- a/gateway/src/state/write_buffer.rs
+++ b/gateway/src/state/write_buffer.rs
@@ -81,6 +81,11 @@
         self.bytes.len()
     }
 
+    /// Returns the memory of the buffer, in bytes.
+    pub fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Returns whether everything has been written.
     pub fn is_empty(&self) -> bool {
         self.bytes.is_empty()
--- a/gateway/src/wire/resp/command.rs
+++ b/gateway/src/wire/resp/command.rs
@@ -85,6 +85,11 @@
     /// A complete command that was not stored because too many commands of its client are pending; it is
     /// rejected.
     Dropped,
+    /// A request that was not stored because clients' commands take too much memory; it is rejected.
+    OutOfMemory {
+        /// The operation's name.
+        operation: Vec<u8>,
+    },
     /// Bytes that break the protocol, after which nothing can be decoded; the text is the reason.
     ProtocolError(&'static str),
 }
--- a/gateway/tests/reducer/requests.rs
+++ b/gateway/tests/reducer/requests.rs
@@ -284,7 +284,7 @@
             4.400 backend connection 5: close if unresponsive for 0.2 s, or stalled for 30 s
             4.600 backend connection 5: close if unresponsive for 0.2 s, or stalled for 30 s
             4.800 backend connection 5: close if unresponsive for 0.2 s, or stalled for 30 s
-            5.000 operator 9: 200 {"completed":{"look":1,"order":0},"rejected":{"look":0,"order":0},"failed":{"look":0,"order":0},"rejected_while_draining":0,"upstream_requests":0,"pending":1,"members":2,"members_unavailable":0,"config_reloads":0,"config_reload_errors":0}
+            5.000 operator 9: 200 {"completed":{"look":1,"order":0},"rejected":{"look":0,"order":0},"failed":{"look":0,"order":0},"rejected_while_draining":0,"rejected_out_of_memory":0,"buffered_bytes":{"input":0,"commands":0,"output":0,"limit":0},"upstream_requests":0,"pending":1,"members":2,"members_unavailable":0,"config_reloads":0,"config_reload_errors":0}
             5.000 client 1: 
             5.000 backend connection 5: look for 799 ms
         "#]],
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -186,6 +186,14 @@
         upper_bound.map(|upper_bound| delay.max(MIN_RETRY_AFTER).min(upper_bound))
     }
 
+    /// Returns the Retry-After of requests that are rejected because the instance is short of memory, in seconds, if the
+    /// settings allow one. Other clients need the memory first.
+    pub fn retry_after_overload(&self) -> Option<f64> {
+        /// Time in which most pending requests are answered, in seconds.
+        const OVERLOAD_RETRY_AFTER: f64 = 0.5;
+        self.retry_after(OVERLOAD_RETRY_AFTER)
+    }
+
     /// Returns the Retry-After of requests that are rejected because the instance drains, in seconds, if the settings
     /// allow one. Other instances can take these requests at once.
     pub fn retry_after_while_draining(&self) -> Option<f64> {
