Streams: a slow value is told from a stalled one by its own pauses

Cause: from the client's timeout on, each check closed a stream whose backend had sent nothing for 0.2 s; the rule was made for values that never end.

Change: StreamProgress, shared by the sockets and the emulator. Nothing is given up less than 0.35 s after the timeout; a stream that moved since may be silent for 2 s, any other for twice its longest pause (0.35 to 2 s). 16 KiB must move in 30 s. A value that waits for earlier replies to its client is not given up.

--- a/emulator/src/gateway_process/connection.rs
+++ b/emulator/src/gateway_process/connection.rs
@@ -3,6 +3,7 @@
 use quillramp_gateway::state::connection::ConnectionId;
 use quillramp_gateway::state::event::Event;
 use quillramp_gateway::state::framing::{MessageReader, MessageSink};
+use quillramp_gateway::state::stream_progress::StreamProgress;
 use quillramp_gateway::state::write_buffer::WriteBuffer;
 
 /// A connection that is open or being established.
@@ -21,8 +22,8 @@
     pub stream_to: Option<ConnectionId>,
     /// Whether nothing more is read from the client's link.
     pub reading_stopped: bool,
-    /// Time at which bytes of a long value were last streamed.
-    pub stream_progress_at: f64,
+    /// Progress of the long value that is streamed from this connection.
+    pub stream_progress: StreamProgress,
     /// Whether the remote closed the connection after bytes that are not decoded yet.
     pub remote_closed: bool,
 }
@@ -38,7 +39,7 @@
             write_buffer: WriteBuffer::default(),
             stream_to: None,
             reading_stopped: false,
-            stream_progress_at: f64::NEG_INFINITY,
+            stream_progress: StreamProgress::start(0.0),
             remote_closed: false,
         }
     }
@@ -56,10 +57,9 @@
 }
 
 impl DecodedInput {
-    /// Returns whether the start or bytes of a long value were decoded.
-    pub fn has_stream_progress(&self) -> bool {
-        let started = self.events.iter().any(|event| matches!(event, Event::StreamStarted(_)));
-        started || !self.streamed.is_empty()
+    /// Returns whether the start of a long value was decoded.
+    pub fn has_stream_start(&self) -> bool {
+        self.events.iter().any(|event| matches!(event, Event::StreamStarted(_)))
     }
 }
 
--- a/emulator/src/gateway_process/effects.rs
+++ b/emulator/src/gateway_process/effects.rs
@@ -8,6 +8,7 @@
 use quillramp_gateway::state::connection::{CloseReason, ConnectionId};
 use quillramp_gateway::state::effect::Effect;
 use quillramp_gateway::state::event::Event;
+use quillramp_gateway::state::stream_progress::StreamProgress;
 use quillramp_gateway::wire::admin::AdminResponse;
 use quillramp_gateway::wire::resp::{ClientReply, RequestCommand};
 use std::collections::BTreeSet;
@@ -39,8 +40,8 @@
             Effect::CloseIfIdle { client, reason } => self.close_if_idle(ctx, client, reason),
             Effect::StopReading(client) => self.stop_reading(client),
             Effect::Stream { connection, client } => self.start_stream(ctx, connection, client),
-            Effect::CloseIfStalled { connection, unresponsive_for, stalled_for } => {
-                self.close_if_stalled(ctx, connection, unresponsive_for, stalled_for)
+            Effect::CloseIfStalled { connection, overdue_for } => {
+                self.close_if_stalled(ctx, connection, overdue_for)
             }
             Effect::HttpRequest { connection, request } => {
                 if let Some(connection) = self.connections.get_mut(&connection) {
@@ -142,13 +143,14 @@
         }
     }
 
-    /// Closes a connection on which a long value has made no progress for `stalled_for` seconds, or for `unresponsive_for` seconds if
-    /// the value is being streamed.
-    fn close_if_stalled(&mut self, ctx: &mut Context, backend: u64, unresponsive_for: f64, stalled_for: f64) {
+    /// Closes a connection on which a long value has stalled, `overdue_for` seconds after its client's timeout. Clients read at
+    /// once, so a value that is being streamed waits for its backend.
+    fn close_if_stalled(&mut self, ctx: &mut Context, backend: u64, overdue_for: f64) {
         let id = ConnectionId::Backend(backend);
         let stalled = |connection: &Connection| {
-            let idle = ctx.now - connection.stream_progress_at;
-            idle >= stalled_for || idle >= unresponsive_for && connection.reader.is_streaming()
+            let is_streaming = connection.reader.is_streaming();
+            !connection.reader.is_stream_pending()
+                && connection.stream_progress.is_stalled(ctx.now, overdue_for, is_streaming)
         };
         if self.connections.get(&id).is_some_and(stalled) {
             self.connection_failed(ctx, id, CloseReason::StreamStalled, false);
@@ -169,7 +171,7 @@
         }
         let connection = self.connections.get_mut(&id).expect("the connection was just used");
         connection.stream_to = recipient;
-        connection.stream_progress_at = ctx.now;
+        connection.stream_progress = StreamProgress::start(ctx.now);
         self.decode(ctx, id);
         let ended = |open: &Connection| open.remote_closed && !open.reader.is_stream_pending();
         if self.connections.get(&id).is_some_and(ended) {
--- a/emulator/src/gateway_process/inbound.rs
+++ b/emulator/src/gateway_process/inbound.rs
@@ -5,6 +5,7 @@
 use crate::network::{LinkId, Remote, Side};
 use quillramp_gateway::state::connection::{CloseReason, ConnectionId};
 use quillramp_gateway::state::event::Event;
+use quillramp_gateway::state::stream_progress::StreamProgress;
 
 impl GatewayProcess {
     /// Adds a connection from a client or an operator to the backlog, or resets it if the process does not accept connections.
@@ -128,9 +129,10 @@
             connection.received.drain(..length);
         }
         let unsent = !connection.write_buffer.is_empty();
-        if input.has_stream_progress() {
-            connection.stream_progress_at = ctx.now;
+        if input.has_stream_start() {
+            connection.stream_progress = StreamProgress::start(ctx.now);
         }
+        connection.stream_progress.record(ctx.now, input.streamed.len());
         let stream_to = connection.stream_to;
         if input.stream_ended {
             connection.stream_to = None;
--- a/gateway/src/sockets/connection/sink.rs
+++ b/gateway/src/sockets/connection/sink.rs
@@ -30,7 +30,7 @@
                 Event::ClientCommand { client, command: self.count_command(command, message_bytes) }
             }
             Event::StreamStarted(_) => {
-                self.0.stream_source.record_progress();
+                self.0.stream_source.start_progress();
                 event
             }
             _ => event,
--- a/gateway/src/sockets/connection/streaming.rs
+++ b/gateway/src/sockets/connection/streaming.rs
@@ -1,5 +1,6 @@
 //! Streams large values from a backend's connection to a client's, as fast as the client reads them.
 use super::{Connection, READ_BUFFER_BYTES};
+use crate::state::stream_progress::StreamProgress;
 use atomic_refcell::AtomicRefCell;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -17,8 +18,10 @@
     target: AtomicRefCell<Option<Arc<Connection>>>,
     /// Set when input that was held back until the stream had a target may be decoded.
     pub resumed: AtomicBool,
-    /// Time of the last progress: the start of the stream, or a part of the value that was forwarded.
-    last_progress: AtomicRefCell<Instant>,
+    /// Origin of the times in `progress`.
+    created_at: Instant,
+    /// Progress of the value, from its head on.
+    progress: AtomicRefCell<StreamProgress>,
     /// Set while reading is paused because the client has to read first.
     pub waits_for_client: AtomicBool,
 }
@@ -29,14 +32,23 @@
         StreamSource {
             target: AtomicRefCell::default(),
             resumed: AtomicBool::new(false),
-            last_progress: AtomicRefCell::new(Instant::now()),
+            created_at: Instant::now(),
+            progress: AtomicRefCell::new(StreamProgress::start(0.0)),
             waits_for_client: AtomicBool::new(false),
         }
     }
 
-    /// Records that the stream made progress now.
-    pub fn record_progress(&self) {
-        *self.last_progress.borrow_mut() = Instant::now();
+    /// Records that the head of a value arrived or that it is forwarded from now on.
+    pub fn start_progress(&self) {
+        *self.progress.borrow_mut() = StreamProgress::start(self.now());
+    }
+
+    fn record_progress(&self, bytes: usize) {
+        self.progress.borrow_mut().record(self.now(), bytes);
+    }
+
+    fn now(&self) -> f64 {
+        self.created_at.elapsed().as_secs_f64()
     }
 }
 
@@ -60,20 +72,26 @@
             *target.stream_target.source.borrow_mut() = Some(self.clone());
         }
         *self.stream_source.target.borrow_mut() = target;
-        self.stream_source.record_progress();
+        self.stream_source.start_progress();
         self.stream_source.resumed.store(true, Ordering::Relaxed);
         self.waker.wakeup();
     }
 
-    /// Returns the seconds since the stream last made progress.
-    pub fn stream_idle_seconds(&self) -> f64 {
-        self.stream_source.last_progress.borrow().elapsed().as_secs_f64()
+    /// Whether the value that is streamed from this connection is to be given up. A value that waits for earlier
+    /// replies to its client is not, since these end by themselves. `overdue_for`: seconds since the client's
+    /// timeout expired.
+    pub fn is_stream_stalled(&self, overdue_for: f64) -> bool {
+        if self.reader.borrow().is_stream_pending() {
+            return false;
+        }
+        let progress = *self.stream_source.progress.borrow();
+        progress.is_stalled(self.stream_source.now(), overdue_for, self.is_waiting_for_backend())
     }
 
     /// Whether the stream waits for its backend: all received parts of the value are written to the client,
     /// and reading is not paused. Unread input rules this out, as bytes that arrived while the process was
     /// suspended may not have been read yet.
-    pub fn is_waiting_for_backend(&self) -> bool {
+    fn is_waiting_for_backend(&self) -> bool {
         let target = self.stream_source.target.borrow();
         let flushed = target.as_ref().is_some_and(|target| target.is_flushed());
         let waits_for_client = self.stream_source.waits_for_client.load(Ordering::Relaxed);
@@ -109,7 +127,7 @@
     /// Forwards a part of the value, or discards it if there is no client or its connection is closed. After
     /// the last part, the line terminator is written and the stream ends.
     pub(super) fn forward_chunk(&self, bytes: &[u8], is_last: bool) {
-        self.stream_source.record_progress();
+        self.stream_source.record_progress(bytes.len());
         let target = self.stream_source.target.borrow().clone();
         let open_target = target.as_ref().filter(|target| !target.closed.load(Ordering::Relaxed));
         if let Some(target) = open_target {
--- a/gateway/src/sockets/effects.rs
+++ b/gateway/src/sockets/effects.rs
@@ -32,8 +32,8 @@
                 self.store.iter().for_each(|store| store.announce_descriptor_limit(limit))
             }
             Effect::Stream { connection, client } => self.stream(connection, client, batch),
-            Effect::CloseIfStalled { connection, unresponsive_for, stalled_for } => {
-                self.close_if_stalled(connection, unresponsive_for, stalled_for, batch)
+            Effect::CloseIfStalled { connection, overdue_for } => {
+                self.close_if_stalled(connection, overdue_for, batch)
             }
             Effect::StopReading(client) => self.stop_reading(client),
             Effect::CloseIfIdle { client, reason } => self.close_if_idle(client, reason, batch),
@@ -110,14 +110,11 @@
         }
     }
 
-    /// Closes a backend's connection if its stream has made no progress for `stalled_for` seconds, or has
-    /// waited for the backend for `unresponsive_for` seconds.
-    fn close_if_stalled(&self, backend: u64, unresponsive_for: f64, stalled_for: f64, batch: &mut Batch) {
+    /// Closes a backend's connection if its stream has stalled. `overdue_for`: seconds since the client's timeout
+    /// expired.
+    fn close_if_stalled(&self, backend: u64, overdue_for: f64, batch: &mut Batch) {
         let id = ConnectionId::Backend(backend);
-        let stalled = self.connections.with(id, |connection| {
-            let idle = connection.stream_idle_seconds();
-            idle >= stalled_for || idle >= unresponsive_for && connection.is_waiting_for_backend()
-        });
+        let stalled = self.connections.with(id, |connection| connection.is_stream_stalled(overdue_for));
         if stalled != Some(true) {
             return;
         }
--- a/gateway/src/state/effect.rs
+++ b/gateway/src/state/effect.rs
@@ -82,11 +82,8 @@
     CloseIfStalled {
         /// The backend's connection.
         connection: u64,
-        /// Seconds without data from the backend, while the client has taken everything, after which the connection is
-        /// closed.
-        unresponsive_for: f64,
-        /// Seconds without any progress, for whatever reason, after which the connection is closed.
-        stalled_for: f64,
+        /// Seconds since the client's timeout expired.
+        overdue_for: f64,
     },
     /// Sends a request to the counter or to the list service.
     HttpRequest {
--- a/gateway/src/state/streams.rs
+++ b/gateway/src/state/streams.rs
@@ -8,13 +8,8 @@
 use crate::wire::resp::ClientReply;
 use quillramp::types::*;
 
-/// Time without any progress after which a stream is closed, in seconds. The kernel buffers some megabytes for a slow
-/// client, and reports free space only after much of that has been sent.
-const STREAM_STALL_SECONDS: f64 = 30.0;
-/// Time without data from the backend after which a stream is closed once its client's timeout (`d`) has expired, in
-/// seconds. The request would count as lost half a second after that timeout (PROTOCOL.md), and later replies on the
-/// connection wait for it.
-const BACKEND_SILENCE_SECONDS: f64 = 0.2;
+/// Interval between two checks of a stream whose client's timeout (`d`) has expired, in seconds.
+const STALL_CHECK_INTERVAL: f64 = 0.1;
 
 impl Reducer {
     /// Handles the beginning of a streamed response: cancels all other attempts of the request, without retries.
@@ -109,16 +104,12 @@
     /// Requests that a stream be closed if it makes no progress, and schedules the next check. Called once the client's
     /// timeout has expired.
     pub(super) fn close_if_stalled(&mut self, now: f64, request: RequestIndex) {
-        let next_check = now + BACKEND_SILENCE_SECONDS;
-        let timeout = self.timers.schedule(next_check, TimerKind::StreamStalled(request));
+        let timeout = self.timers.schedule(now + STALL_CHECK_INTERVAL, TimerKind::StreamStalled(request));
         let Some(pending) = self.requests.get_mut(request) else { return };
         pending.timeout = Some(timeout);
         let Some(attempt) = pending.streaming_attempt else { return };
         let Some(connection) = pending.attempts[attempt].connection else { return };
-        self.effects.push(Effect::CloseIfStalled {
-            connection,
-            unresponsive_for: BACKEND_SILENCE_SECONDS,
-            stalled_for: STREAM_STALL_SECONDS,
-        });
+        let overdue_for = now - pending.attributes.deadline;
+        self.effects.push(Effect::CloseIfStalled { connection, overdue_for });
     }
 }
