Memory: slow input, unread replies and long bodies stay within the budget

Causes: input was limited by kind and after 64 KiB of each command; buffers that grow side by side made the allocator keep several times what was in use; attempts copied whole bodies; replies were not limited; waiting for memory had no end.

Change: input beyond a client's share is dropped and rejected in its turn. The allocator's thresholds are fixed. Long requests are copied in pieces. Pending commands are limited by the length of replies, values that wait for earlier ones too. Input that may be complete waits 0.6 s at most, a slow sender gives up its memory to it, and the time waited is taken off the request's.

The tests of memory.rs pass at 32 MiB; these three were not run against the former code.

--- a/emulator/src/simulation/instances.rs
+++ b/emulator/src/simulation/instances.rs
@@ -121,6 +121,7 @@
             discovery: addresses::discovery(0),
             max_descriptors: world.max_descriptors,
             max_customers: usize::MAX,
+            max_waiting_value_bytes: usize::MAX,
             inherited_listener: world.inherits_listener,
             admin_enabled: true,
             saves_changes: true,
--- a/gateway/src/process/mod.rs
+++ b/gateway/src/process/mod.rs
@@ -1,4 +1,5 @@
 //! The life cycle of the process: configuration, log, signals, and the handover to the next process.
+pub mod allocator;
 pub mod check;
 pub mod configuration;
 pub mod descriptors;
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -1,6 +1,7 @@
 //! Starts the gateway. The main thread then waits for signals.
 use quillramp::settings::Loaded;
 use quillramp::settings::SettingsError;
+use quillramp_gateway::process::allocator;
 use quillramp_gateway::process::configuration::{self, Configuration, ConfigurationError};
 use quillramp_gateway::process::descriptors;
 use quillramp_gateway::process::handover::{Handover, SharedStateStore, StoreThreadError};
@@ -31,6 +32,8 @@
 /// Number of coroutine stacks that are allocated at the start and kept for later connections. Each is mapped,
 /// protected and touched before the gateway serves, which delays the start; the runtime's default is 1,000.
 const STACK_POOL_CAPACITY: usize = 64;
+/// The memory of the process divided by this is the limit for values that wait for earlier replies to their clients.
+const WAITING_VALUES_DIVISOR: usize = 8;
 /// Left shift that converts MiB to bytes, in bits.
 const MEBIBYTE_SHIFT: usize = 20;
 
@@ -127,6 +130,7 @@
 /// Starts the gateway and handles signals until the process exits.
 pub fn serve() -> Result<Infallible, StartError> {
     let inherited = inherited_listener::take()?; // before another descriptor can get the same number
+    allocator::return_freed_memory();
     logger::start()?;
     abort_on_panic();
     let files = StartupFiles::read()?;
@@ -163,6 +167,8 @@
     max_descriptors: usize,
     /// Maximum number of customers with an account.
     max_customers: usize,
+    /// Maximum number of bytes of the values that wait for earlier replies to their clients.
+    max_waiting_value_bytes: usize,
     /// Whether the socket for clients was inherited, so that another process may listen on it too.
     inherited_listener: bool,
     listeners: Listeners,
@@ -195,7 +201,16 @@
             Handover::default()
         };
         let max_customers = max_customers(memory_bytes);
-        Ok(Startup { max_descriptors, max_customers, inherited_listener, listeners, handover, shared })
+        let max_waiting_value_bytes = memory_bytes / WAITING_VALUES_DIVISOR;
+        Ok(Startup {
+            max_descriptors,
+            max_customers,
+            max_waiting_value_bytes,
+            inherited_listener,
+            listeners,
+            handover,
+            shared,
+        })
     }
 
     /// Starts to serve clients, operators and peers.
@@ -225,6 +240,7 @@
             discovery: configuration.discovery,
             max_descriptors: self.max_descriptors,
             max_customers: self.max_customers,
+            max_waiting_value_bytes: self.max_waiting_value_bytes,
             inherited_listener: self.inherited_listener,
             admin_enabled: files.admin.is_some(),
             saves_changes: self.handover.store.is_some(),
--- a/gateway/src/sockets/connection/capacity.rs
+++ b/gateway/src/sockets/connection/capacity.rs
@@ -8,9 +8,6 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 
-/// Number of pending commands of one client at which no more of its commands are decoded.
-const MAX_PENDING_COMMANDS: usize = 512;
-
 /// Maximum number of commands of one client that are decoded in one turn.
 const MAX_TURN_COMMANDS: usize = 64;
 /// Memory of a pending request beside its message, in bytes: the state of the request and of its attempts.
@@ -30,8 +27,6 @@
     /// Set while further commands have been read but are not decoded until some of these are answered or the next
     /// turn begins.
     pub postponed: AtomicBool,
-    /// Set while the connection waits for memory for a long command.
-    pub waits_for_capacity: AtomicBool,
 }
 
 impl PendingCommands {
@@ -40,11 +35,6 @@
         self.count.load(Ordering::Relaxed) == 0
     }
 
-    /// Whether no more commands are decoded for now.
-    pub fn is_full(&self) -> bool {
-        self.count.load(Ordering::Relaxed) >= MAX_PENDING_COMMANDS || self.is_turn_over()
-    }
-
     /// Whether as many commands were decoded as one turn allows.
     pub fn is_turn_over(&self) -> bool {
         self.decoded_in_turn.load(Ordering::Relaxed) >= MAX_TURN_COMMANDS
@@ -57,6 +47,21 @@
 }
 
 impl Connection {
+    /// Whether no more commands of this client are decoded for now.
+    pub(super) fn has_enough_commands(&self) -> bool {
+        let pending = &self.pending_commands;
+        pending.count.load(Ordering::Relaxed) >= self.context.max_pending_commands() || pending.is_turn_over()
+    }
+
+    /// Whether there is no memory for a reply of this many bytes. A client that has read its earlier replies gets each
+    /// one.
+    pub fn lacks_memory_for_reply(&self, bytes: usize) -> bool {
+        let unread = self.write_buffer.borrow().len();
+        unread + bytes > resp::MAX_MESSAGE_BYTES
+            && !self.memory.allows(bytes)
+            && !self.context.memory.fits(bytes)
+    }
+
     /// Counts a decoded command. `stored_bytes` is the length of its message if it is stored, otherwise 0.
     pub(super) fn count_command(&self, stored_bytes: usize) {
         let pending = &self.pending_commands;
@@ -103,15 +108,7 @@
         let number = self.client_number();
         let exempt = &self.context.exempt_client;
         let _ = exempt.compare_exchange(number, 0, Ordering::Relaxed, Ordering::Relaxed);
-        self.wake_waiting_for_capacity();
-    }
-
-    /// Wakes all connections that wait for memory.
-    pub(super) fn wake_waiting_for_capacity(&self) {
-        for connection in self.context.waiting_for_capacity.borrow_mut().drain(..) {
-            connection.pending_commands.waits_for_capacity.store(false, Ordering::Relaxed);
-            connection.waker.wakeup();
-        }
+        self.context.long_inputs.wake_waiting();
     }
 
     /// Whether there is memory for one more read of a long command, or this client is exempt from the limit.
@@ -133,18 +130,13 @@
         previous.is_ok() || previous == Err(number)
     }
 
-    /// Updates the counts for an incomplete command whose length has changed from `before` to `now` bytes;
-    /// returns false if it has grown and all clients together exceed the limit for incomplete commands.
-    pub(super) fn count_partial(&self, before: usize, now: usize) -> bool {
-        if !self.is_client() {
-            return true;
+    /// Updates the count of long commands' bytes for an incomplete command whose length has changed from `before` to
+    /// `now` bytes.
+    pub(super) fn count_partial(&self, before: usize, now: usize) {
+        if self.is_client() {
+            self.context.long_command_bytes.fetch_add(long_bytes(now), Ordering::Relaxed);
+            self.context.long_command_bytes.fetch_sub(long_bytes(before), Ordering::Relaxed);
         }
-        let context = &self.context;
-        let partial = context.partial_bytes.load(Ordering::Relaxed) + short_bytes(now) - short_bytes(before);
-        context.partial_bytes.store(partial, Ordering::Relaxed);
-        context.long_command_bytes.fetch_add(long_bytes(now), Ordering::Relaxed);
-        context.long_command_bytes.fetch_sub(long_bytes(before), Ordering::Relaxed);
-        short_bytes(now) <= short_bytes(before) || partial <= context.max_partial_bytes
     }
 }
 
@@ -165,8 +157,3 @@
         0
     }
 }
-
-/// Returns the length if the message is not long, otherwise 0.
-fn short_bytes(length: usize) -> usize {
-    length - long_bytes(length)
-}
--- a/gateway/src/sockets/connection/context.rs
+++ b/gateway/src/sockets/connection/context.rs
@@ -1,5 +1,6 @@
 //! State that all connections share: the read buffer, and counts of what they use with the limits on it.
 use super::lingering::LingeringConnections;
+use super::long_input::LongInputs;
 use super::{Connection, READ_BUFFER_BYTES};
 use crate::sockets::event_queue::EventQueue;
 use crate::state::memory_budget::{MemoryBudget, MemoryUse};
@@ -11,8 +12,7 @@
 
 /// Maximum amount of unwritten output of one connection, in bytes; with more, the connection is not read.
 const MAX_UNWRITTEN_BYTES: usize = 1024 * 1024;
-/// The memory of the instance divided by this is the limit for clients' incomplete commands, and again the
-/// limit for their long commands.
+/// The memory of the instance divided by this is the limit for clients' long commands.
 const COMMAND_MEMORY_DIVISOR: usize = 8;
 /// The memory of the instance divided by this is the threshold for streamed values that wait for clients.
 const STREAM_MEMORY_DIVISOR: usize = 8;
@@ -20,6 +20,15 @@
 /// connections at the limit have as much unwritten output as commands may take.
 const UNWRITTEN_DIVISOR: usize = 16;
 
+/// Maximum number of pending commands of one client at which no more of its commands are decoded.
+const MAX_PENDING_COMMANDS: usize = 512;
+/// The same for a client whose replies are expected to be long.
+const MIN_PENDING_COMMANDS: usize = 16;
+/// The memory for buffers divided by this is what the pending replies of one client may take.
+const PENDING_REPLIES_DIVISOR: usize = 16;
+/// With each value, the estimate of the longest values falls by its own amount divided by this.
+const VALUE_ESTIMATE_DECAY: usize = 64;
+
 /// State that all connections share.
 pub struct ConnectionContext {
     /// The queue of events for the reducer.
@@ -28,10 +37,6 @@
     pub memory: Arc<MemoryBudget>,
     /// The buffer that every connection reads into.
     pub(super) read_buffer: AtomicRefCell<Vec<u8>>,
-    /// Length of all clients' incomplete commands that are not long, in bytes.
-    pub(super) partial_bytes: AtomicUsize,
-    /// Maximum of `partial_bytes`.
-    pub(super) max_partial_bytes: usize,
     /// `MAX_UNWRITTEN_BYTES`, or less if the instance has little memory.
     pub(super) max_unwritten_bytes: usize,
     /// Length of all clients' long commands, complete or not, that have no reply yet, in bytes.
@@ -40,8 +45,8 @@
     pub(super) max_long_command_bytes: usize,
     /// Number of the client that may exceed `max_long_command_bytes`; 0 for none.
     pub(super) exempt_client: AtomicUsize,
-    /// Clients' connections that wait for memory for a long command.
-    pub(super) waiting_for_capacity: AtomicRefCell<Vec<Arc<Connection>>>,
+    /// Clients' connections that compete for the memory for long commands.
+    pub(super) long_inputs: LongInputs,
     /// Connections whose turn has ended before their input. They continue once all connections that are ready
     /// have had a turn.
     deferred: AtomicRefCell<Vec<Arc<Connection>>>,
@@ -49,6 +54,8 @@
     accepting_deferred: AtomicBool,
     /// Number of turns that ended before the input since the driver last added them to the statistics.
     pub deferred_turns: AtomicUsize,
+    /// Estimate of the longest values that backends reply with, in bytes.
+    pub(super) expected_value_bytes: AtomicUsize,
     /// Connections that were shut down and whose output is not acknowledged yet.
     pub(super) lingering: LingeringConnections,
     /// Length of the parts of streamed values that wait for clients, in bytes.
@@ -75,16 +82,15 @@
             events,
             memory: MemoryBudget::new(memory_bytes),
             read_buffer: AtomicRefCell::new(vec![0; READ_BUFFER_BYTES]),
-            partial_bytes: AtomicUsize::new(0),
-            max_partial_bytes: command_memory,
             max_unwritten_bytes: MAX_UNWRITTEN_BYTES.min(command_memory / UNWRITTEN_DIVISOR),
             long_command_bytes: AtomicUsize::new(0),
             max_long_command_bytes: command_memory,
             exempt_client: AtomicUsize::new(0),
-            waiting_for_capacity: AtomicRefCell::default(),
+            long_inputs: LongInputs::default(),
             deferred: AtomicRefCell::default(),
             accepting_deferred: AtomicBool::new(false),
             deferred_turns: AtomicUsize::new(0),
+            expected_value_bytes: AtomicUsize::new(0),
             lingering: LingeringConnections::default(),
             buffered_stream_bytes: AtomicUsize::new(0),
             max_buffered_stream_bytes: memory_bytes / STREAM_MEMORY_DIVISOR,
@@ -96,6 +102,21 @@
         })
     }
 
+    /// Records the length of a value, in bytes. The estimate rises at once and falls slowly.
+    pub(super) fn record_value(&self, bytes: usize) {
+        let previous = self.expected_value_bytes.load(Ordering::Relaxed);
+        let lowered = previous - previous / VALUE_ESTIMATE_DECAY;
+        self.expected_value_bytes.store(lowered.max(bytes), Ordering::Relaxed);
+    }
+
+    /// Returns the number of pending commands of one client at which no more of its commands are decoded: their
+    /// replies are expected to take a part of the memory.
+    pub(super) fn max_pending_commands(&self) -> usize {
+        let expected = self.expected_value_bytes.load(Ordering::Relaxed).max(1);
+        let fitting = self.memory.max_bytes() / PENDING_REPLIES_DIVISOR / expected;
+        fitting.clamp(MIN_PENDING_COMMANDS, MAX_PENDING_COMMANDS)
+    }
+
     /// Returns what connections' buffers hold.
     pub fn buffered_bytes(&self) -> BufferedBytes {
         BufferedBytes {
@@ -155,6 +176,16 @@
         self.lingering.close_finished(self.descriptors_exhausted.load(Ordering::Relaxed));
     }
 
+    /// Whether any client waits for memory for a long command.
+    pub fn has_waiting_input(&self) -> bool {
+        self.long_inputs.has_waiting()
+    }
+
+    /// Lets no long command wait for memory for too long.
+    pub fn check_waiting_input(&self) {
+        self.long_inputs.check_waiting();
+    }
+
     /// Whether the maximum number of clients is connected.
     pub fn client_limit_reached(&self) -> bool {
         self.open_clients.load(Ordering::Relaxed) >= self.max_clients
--- a/gateway/src/sockets/connection/lifecycle.rs
+++ b/gateway/src/sockets/connection/lifecycle.rs
@@ -1,5 +1,6 @@
 //! The life cycle of a connection: it is accepted or opened, and closed by this process or by the peer.
 use super::capacity::PendingCommands;
+use super::long_input::LongInput;
 use super::read_loop::ReadLoop;
 use super::streaming::{StreamSource, StreamTarget};
 use super::{Connection, ConnectionContext};
@@ -68,8 +69,9 @@
             reading_stopped: AtomicBool::new(false),
             is_deferred: AtomicBool::new(false),
             reports_written_output: AtomicBool::new(false),
-            memory: HeldMemory::new(context.memory.clone()),
+            memory: HeldMemory::new(context.memory.clone(), matches!(id, ConnectionId::Client(_))),
             pending_commands: PendingCommands::default(),
+            long_input: LongInput::default(),
             stream_source: StreamSource::new(),
             stream_target: StreamTarget::default(),
             context: context.clone(),
@@ -94,6 +96,7 @@
         self.closed.store(true, Ordering::Relaxed);
         self.count_buffered_stream(0);
         self.memory.set(MemoryUse::Input, 0);
+        self.release_long_input();
         self.release_commands();
         self.detach_streams();
     }
--- a/gateway/src/sockets/connection/mod.rs
+++ b/gateway/src/sockets/connection/mod.rs
@@ -4,6 +4,7 @@
 mod decoding;
 mod lifecycle;
 mod lingering;
+mod long_input;
 mod read_loop;
 mod sink;
 mod streaming;
@@ -17,6 +18,7 @@
 use crate::state::write_buffer::WriteBuffer;
 use atomic_refcell::AtomicRefCell;
 use capacity::PendingCommands;
+use long_input::LongInput;
 use may::io::{CoIo, WaitIoWaker};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::AtomicBool;
@@ -72,6 +74,8 @@
     memory: HeldMemory,
     /// Commands of a client that have no reply yet.
     pending_commands: PendingCommands,
+    /// A client's long command that is incomplete.
+    long_input: LongInput,
     /// For a backend's connection: the value that is streamed from it.
     stream_source: StreamSource,
     /// For a client's connection: the value that is streamed to it.
--- a/gateway/src/sockets/connection/read_loop.rs
+++ b/gateway/src/sockets/connection/read_loop.rs
@@ -119,6 +119,9 @@
             return Err(ConnectionEnd::Lost(if reset { CloseReason::Reset } else { CloseReason::Closed }));
         }
         connection.pending_commands.begin_turn();
+        if connection.takes_long_input_back() && self.stores_long_command() {
+            self.drop_input();
+        }
         let result = self.decode_postponed().and_then(|()| self.read_unread(ended));
         connection.memory.set(MemoryUse::Input, self.backlog.capacity());
         Ok(result?)
@@ -222,15 +225,21 @@
     fn read_window(&mut self, read_bytes: usize) -> Option<usize> {
         let connection = self.connection;
         if self.must_start_dropping() {
-            let before = self.backlog.len();
-            self.backlog.start_dropping();
-            connection.count_partial(before, self.backlog.len());
-            connection.wake_waiting_for_capacity();
+            self.drop_input();
         }
-        let stores_long_command = self.stores_long_command();
+        let mut stores_long_command = self.stores_long_command();
         if stores_long_command && !connection.reserve_capacity() {
-            self.wait_for_capacity();
-            return None;
+            if connection.memory.is_allowed() || connection.context.memory.fits(0) {
+                connection.wait_for_capacity();
+                return None;
+            }
+            self.drop_input();
+            stores_long_command = false;
+        }
+        if stores_long_command {
+            connection.hold_long_input();
+        } else {
+            connection.release_long_input();
         }
         if read_bytes >= self.max_turn_bytes(stores_long_command) {
             connection.context.defer(connection);
@@ -257,17 +266,10 @@
 
     /// Whether the input is part of a long command that is stored.
     fn stores_long_command(&self) -> bool {
-        let is_long = self.connection.is_client() && self.backlog.len() > resp::MAX_MESSAGE_BYTES;
-        is_long && !self.backlog.is_dropping() && !self.discards_input()
-    }
-
-    /// Registers the connection to be woken when memory for long commands is released.
-    fn wait_for_capacity(&self) {
-        let connection = self.connection;
-        if !connection.pending_commands.waits_for_capacity.swap(true, Ordering::Relaxed) {
-            connection.context.waiting_for_capacity.borrow_mut().push(connection.clone());
-            self.push(Event::BodyProgress { client: connection.client_number() as u64, has_capacity: false });
-        }
+        self.connection.is_client()
+            && !self.backlog.is_dropping()
+            && !self.discards_input()
+            && self.backlog.holds_long_command()
     }
 
     /// Returns the outcome if reading stops after a read, or `None` if it continues. `is_short`: the read did
@@ -307,7 +309,7 @@
         }
         let stored_bytes = self.backlog.len();
         let exceeds_limits =
-            connection.pending_commands.is_full() && stored_bytes > connection.context.max_unwritten_bytes;
+            connection.has_enough_commands() && stored_bytes > connection.context.max_unwritten_bytes;
         exceeds_limits || stored_bytes > resp::MAX_MESSAGE_BYTES && !connection.has_capacity()
     }
 
--- a/gateway/src/sockets/connection/sink.rs
+++ b/gateway/src/sockets/connection/sink.rs
@@ -2,7 +2,7 @@
 use super::Connection;
 use crate::state::event::Event;
 use crate::state::framing::MessageSink;
-use crate::wire::resp::ClientCommand;
+use crate::wire::resp::{BackendReply, ClientCommand};
 
 /// Receives the decoded messages of one connection.
 pub(super) struct EventSink<'a>(pub &'a Connection);
@@ -10,7 +10,8 @@
 impl EventSink<'_> {
     /// Counts a command among the pending ones; returns it, or what takes its place if there is no memory for it.
     fn count_command(&self, command: ClientCommand, message_bytes: usize) -> ClientCommand {
-        let ClientCommand::Request(request) = command else {
+        let waited_ms = self.0.take_waited_ms();
+        let ClientCommand::Request(mut request) = command else {
             self.0.count_command(0);
             return command;
         };
@@ -19,6 +20,7 @@
             return ClientCommand::OutOfMemory { operation: request.operation().to_vec() };
         }
         self.0.count_command(message_bytes);
+        request.timeout_ms = (request.timeout_ms - waited_ms as f64).max(0.0);
         ClientCommand::Request(request)
     }
 }
@@ -29,6 +31,10 @@
             Event::ClientCommand { client, command } => {
                 Event::ClientCommand { client, command: self.count_command(command, message_bytes) }
             }
+            Event::BackendReply { reply: BackendReply::Value { ref value, .. }, .. } => {
+                self.0.context.record_value(value.len());
+                event
+            }
             Event::StreamStarted(_) => {
                 self.0.stream_source.start_progress();
                 event
@@ -39,7 +45,7 @@
     }
 
     fn is_full(&self) -> bool {
-        self.0.pending_commands.is_full()
+        self.0.has_enough_commands()
     }
 
     fn body_chunk(&mut self, bytes: &[u8], is_last: bool) {
--- a/gateway/src/sockets/connection/writing.rs
+++ b/gateway/src/sockets/connection/writing.rs
@@ -3,6 +3,7 @@
 use crate::state::connection::ConnectionId;
 use crate::state::event::Event;
 use crate::state::memory_budget::MemoryUse;
+use crate::state::write_buffer::WriteBuffer;
 use std::io::{ErrorKind, Write};
 use std::net::Shutdown;
 use std::sync::atomic::Ordering;
@@ -12,23 +13,22 @@
     /// writable.
     pub fn flush(&self) {
         let mut write_buffer = self.write_buffer.borrow_mut();
-        let mut written = 0;
-        while written < write_buffer.len() {
-            match self.stream.inner().write(&write_buffer.bytes()[written..]) {
-                Ok(length) if length > 0 => written += length,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                _ => break, // the socket is full, or has failed, which the read loop reports
+        while !write_buffer.is_empty() {
+            let available = write_buffer.bytes().len();
+            let written = self.write(write_buffer.bytes());
+            let attempts = write_buffer.consume(written);
+            self.context.written_attempts.fetch_add(attempts, Ordering::Relaxed);
+            if written < available {
+                break;
             }
         }
-        let attempts = write_buffer.consume(written);
-        self.context.written_attempts.fetch_add(attempts, Ordering::Relaxed);
         if self.is_answered_operator() && write_buffer.is_empty() {
             // Fails if the operator has closed the connection.
             let _ = self.stream.inner().shutdown(Shutdown::Write);
         }
         write_buffer.shrink(MAX_RETAINED_BUFFER_BYTES);
         let unwritten = write_buffer.len();
-        self.memory.set(MemoryUse::Output, write_buffer.capacity());
+        self.count_output(&write_buffer);
         drop(write_buffer);
         self.stream_flushed(unwritten);
         if unwritten == 0 && self.reports_written_output.swap(false, Ordering::Relaxed) {
@@ -37,6 +37,24 @@
         }
     }
 
+    /// Counts the memory of the write buffer.
+    pub fn count_output(&self, write_buffer: &WriteBuffer) {
+        self.memory.set(MemoryUse::Output, write_buffer.capacity());
+    }
+
+    /// Writes as many of these bytes as the socket accepts; returns their number.
+    fn write(&self, bytes: &[u8]) -> usize {
+        let mut written = 0;
+        while written < bytes.len() {
+            match self.stream.inner().write(&bytes[written..]) {
+                Ok(length) if length > 0 => written += length,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                _ => break, // the socket is full, or has failed, which the read loop reports
+            }
+        }
+        written
+    }
+
     /// Writes a client's buffered output; returns whether nothing is left. Otherwise `ClientOutputWritten`
     /// follows when the rest is written.
     pub fn flush_or_report_later(&self) -> bool {
--- a/gateway/src/sockets/driver.rs
+++ b/gateway/src/sockets/driver.rs
@@ -35,6 +35,8 @@
 
 /// Interval at which a process that is shutting down checks whether all output has been written, in seconds.
 const EXIT_CHECK_INTERVAL: f64 = 0.005;
+/// Interval at which clients are checked whose long commands wait for memory, in seconds.
+const WAITING_CHECK_INTERVAL: f64 = 0.05;
 /// Interval at which connections that were shut down are checked for unacknowledged output, in seconds.
 const LINGER_CHECK_INTERVAL: f64 = 0.02;
 
@@ -77,6 +79,7 @@
             let wake_at = self.step(&mut reducer, &mut events, &mut batch);
             batch.closing.retain(|connection| !connection.is_flushed());
             self.context.close_lingering();
+            self.context.check_waiting_input();
             let now = self.clock.now();
             let wake_at = self.next_wake(now, wake_at, &reducer, &mut batch);
             if let Some(wake_at) = wake_at.filter(|wake_at| *wake_at < timer_at || timer_at <= now) {
@@ -109,7 +112,9 @@
         // The timer expires at once, after the sockets that are ready by then.
         let resume_at = self.context.has_deferred().then_some(now);
         let linger_check_at = self.context.has_lingering().then_some(now + LINGER_CHECK_INTERVAL);
-        wake_at.into_iter().chain(resume_at).chain(linger_check_at).reduce(f64::min)
+        let waiting_check_at = self.context.has_waiting_input().then_some(now + WAITING_CHECK_INTERVAL);
+        let wakes = [wake_at, resume_at, linger_check_at, waiting_check_at];
+        wakes.into_iter().flatten().reduce(f64::min)
     }
 
     /// Whether clients of closed connections have not received all of their output yet.
@@ -130,6 +135,7 @@
         }
         reducer.handle_batch(now, events);
         let ReducerOutput { next_poll_at, effects } = reducer.poll(now);
+        self.context.memory.set_waiting_values(reducer.waiting_value_bytes());
         for effect in effects {
             self.carry_out(effect, batch);
         }
--- a/gateway/src/sockets/effects.rs
+++ b/gateway/src/sockets/effects.rs
@@ -10,6 +10,10 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
+/// The error that takes the place of a value for which there is no memory, because its client and others do not read
+/// their replies.
+const REPLY_DISCARDED: &str = "reply discarded: too many replies are not read";
+
 impl Driver {
     /// Carries out an effect; output that it writes is flushed at the end of the batch.
     pub(super) fn carry_out(&self, effect: Effect, batch: &mut Batch) {
@@ -18,8 +22,7 @@
             Effect::Reject { client, reason } => self.reject(client, reason, batch),
             Effect::SendAttempt { connection, attempt, request, timeout_ms } => {
                 self.write(ConnectionId::Backend(connection), batch, |connection| {
-                    let encode = |buffer: &mut Vec<u8>| request.encode(timeout_ms, buffer);
-                    connection.write_buffer.borrow_mut().append(attempt, encode);
+                    connection.write_buffer.borrow_mut().append_request(attempt, &request, timeout_ms);
                 })
             }
             Effect::Withdraw { connection, attempt } => self.withdraw(connection, attempt),
@@ -62,7 +65,13 @@
 
     fn reply(&self, client: u64, reply: &ClientReply, batch: &mut Batch) {
         self.write(ConnectionId::Client(client), batch, |connection| {
-            reply.encode(connection.write_buffer.borrow_mut().buffer());
+            let discarded = ClientReply::Error(REPLY_DISCARDED.into());
+            let fits = reply.value_bytes() == 0 || !connection.lacks_memory_for_reply(reply.value_bytes());
+            let reply = if fits { reply } else { &discarded };
+            let mut write_buffer = connection.write_buffer.borrow_mut();
+            reply.encode(write_buffer.buffer());
+            connection.count_output(&write_buffer);
+            drop(write_buffer);
             connection.command_answered();
         });
     }
--- a/gateway/src/state/backlog.rs
+++ b/gateway/src/state/backlog.rs
@@ -10,6 +10,9 @@
 /// replies to that many commands take less than half a MiB.
 pub const MAX_DROPPED_COMMANDS: usize = 65_536;
 
+/// A buffer with this many times the capacity that it needs is shrunk.
+const SHRINK_FACTOR: usize = 4;
+
 /// The next item to reject, once all commands before it are decoded.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Rejection {
@@ -69,6 +72,16 @@
         self.len() == 0 && self.dropping.is_none()
     }
 
+    /// Returns whether the buffer holds the beginning of a command that is longer than `resp::MAX_MESSAGE_BYTES`, as far
+    /// as its length is known.
+    pub fn holds_long_command(&self) -> bool {
+        match resp::command_extent(self.bytes()) {
+            Ok(Extent::Missing(missing)) => self.len() + missing > resp::MAX_MESSAGE_BYTES,
+            Ok(Extent::Complete(length)) => length > resp::MAX_MESSAGE_BYTES,
+            _ => self.len() > resp::MAX_MESSAGE_BYTES,
+        }
+    }
+
     /// Returns whether new commands are dropped.
     pub fn is_dropping(&self) -> bool {
         self.dropping.is_some()
@@ -191,10 +204,12 @@
         self.shrink(capacity);
     }
 
-    /// Frees the buffer if it is empty and its capacity exceeds `capacity` bytes.
+    /// Frees the memory that a short rest does not need, if the buffer's capacity exceeds `capacity` bytes.
     pub fn shrink(&mut self, capacity: usize) {
         if self.buffer.is_empty() && self.buffer.capacity() > capacity {
             self.buffer = Vec::new();
+        } else if self.buffer.capacity() > capacity.max(SHRINK_FACTOR * self.buffer.len()) {
+            self.buffer.shrink_to(capacity);
         }
     }
 }
--- a/gateway/src/state/client_table.rs
+++ b/gateway/src/state/client_table.rs
@@ -79,6 +79,15 @@
         }
     }
 
+    /// Returns the bytes of the values that wait for earlier replies.
+    pub fn waiting_value_bytes(&self) -> usize {
+        let bytes = self.pending_replies.iter().map(|pending| match pending {
+            PendingReply::Ready(reply) => reply.value_bytes(),
+            PendingReply::Request(_) => 0,
+        });
+        bytes.sum()
+    }
+
     /// Sets the reply to a command, if that is still pending.
     pub fn set_reply(&mut self, command_number: u64, reply: ClientReply) {
         let position = command_number.checked_sub(self.first_unanswered_number);
@@ -104,6 +113,8 @@
     pub connections: HashMap<u64, Client>,
     /// Number of commands in the current batch of events, by client.
     pub commands_in_batch: BTreeMap<u64, usize>,
+    /// Bytes of the values that wait for earlier replies on their connections.
+    pub waiting_value_bytes: usize,
     /// Whether a connection was rejected in the current batch, which frees a file descriptor.
     pub rejected_in_batch: bool,
 }
--- a/gateway/src/state/clients.rs
+++ b/gateway/src/state/clients.rs
@@ -203,6 +203,7 @@
 
     /// Sets the final answer to a request. It is sent once all earlier replies on the connection have been sent.
     pub(super) fn answer_request(&mut self, now: f64, request: RequestIndex, reply: ClientReply) {
+        let reply = self.limit_waiting_value(request, reply);
         let Some(pending) = self.requests.get_open_mut(request) else { return };
         pending.is_closed = true;
         let has_value = matches!(reply, ClientReply::Value(_) | ClientReply::Streamed);
@@ -218,14 +219,32 @@
         }
         let Some(client) = self.clients.connections.get_mut(&client_id) else { return };
         client.last_active = now;
+        self.clients.waiting_value_bytes += reply.value_bytes();
         client.set_reply(pending.command_number, reply);
         self.send_ready_replies(client_id);
     }
 
+    /// Returns the reply to a request, or an error in its place if it would have to wait for earlier replies and there is
+    /// no memory for that.
+    fn limit_waiting_value(&self, request: RequestIndex, reply: ClientReply) -> ClientReply {
+        let Some(pending) = self.requests.get_open(request) else { return reply };
+        let client = self.clients.connections.get(&pending.client);
+        let waits = client.is_some_and(|client| client.next_request() != Some(request));
+        let bytes = reply.value_bytes();
+        if !waits
+            || bytes == 0
+            || self.clients.waiting_value_bytes + bytes <= self.config.max_waiting_value_bytes
+        {
+            return reply;
+        }
+        ClientReply::Error("reply discarded: too many replies wait for earlier ones".into())
+    }
+
     /// Sends the replies that are next in order and ready; closes the connection after the last one if that is due.
     fn send_ready_replies(&mut self, id: u64) {
         let Some(client) = self.clients.connections.get_mut(&id) else { return };
         while let Some(reply) = client.take_ready_reply() {
+            self.clients.waiting_value_bytes -= reply.value_bytes();
             self.effects.push(Effect::Reply { client: id, reply });
         }
         if let Some(request) = client.next_request() {
@@ -265,6 +284,8 @@
         if let Some(admission) = &mut self.admission {
             admission.connection_closed(id);
         }
-        self.clients.connections.remove(&id)
+        let client = self.clients.connections.remove(&id)?;
+        self.clients.waiting_value_bytes -= client.waiting_value_bytes();
+        Some(client)
     }
 }
--- a/gateway/src/state/memory_budget.rs
+++ b/gateway/src/state/memory_budget.rs
@@ -13,7 +13,7 @@
 /// The parts of the process's memory that are used at most, and that buffers get at least. The rest covers what the
 /// allocator can't return.
 const USABLE_FRACTION: Fraction = Fraction { numerator: 3, denominator: 4 };
-const MIN_BUFFER_FRACTION: Fraction = Fraction { numerator: 1, denominator: 8 };
+const MIN_BUFFER_FRACTION: Fraction = Fraction { numerator: 1, denominator: 4 };
 /// The part of the buffers' memory that goes to whoever needs it first.
 const COMMON_FRACTION: Fraction = Fraction { numerator: 1, denominator: 4 };
 /// The part of the buffers' memory that is divided into the connections' own shares.
@@ -51,14 +51,24 @@
     process_bytes: usize,
     /// Number of open connections.
     connections: AtomicUsize,
-    /// Bytes in use, by kind.
+    /// Number of open connections with a share: those of clients.
+    shares: AtomicUsize,
+    /// Bytes in use by connections, by kind.
     used: [AtomicUsize; USES],
+    /// Bytes of values that wait for earlier replies to their clients.
+    waiting_values: AtomicUsize,
 }
 
 impl MemoryBudget {
     /// Returns the budget of a process with this much memory.
     pub fn new(process_bytes: usize) -> Arc<MemoryBudget> {
-        Arc::new(MemoryBudget { process_bytes, connections: AtomicUsize::new(0), used: Default::default() })
+        Arc::new(MemoryBudget {
+            process_bytes,
+            connections: AtomicUsize::new(0),
+            shares: AtomicUsize::new(0),
+            used: Default::default(),
+            waiting_values: AtomicUsize::new(0),
+        })
     }
 
     /// Returns how many bytes all buffers may take together.
@@ -68,9 +78,15 @@
         rest.max(MIN_BUFFER_FRACTION.of(self.process_bytes))
     }
 
-    /// Returns the bytes that all buffers take.
+    /// Returns the bytes that are in use.
     pub fn used_bytes(&self) -> usize {
-        self.used.iter().map(|bytes| bytes.load(Ordering::Relaxed)).sum()
+        let used_by_connections: usize = self.used.iter().map(|bytes| bytes.load(Ordering::Relaxed)).sum();
+        used_by_connections + self.waiting_values.load(Ordering::Relaxed)
+    }
+
+    /// Records how many bytes the values take that wait for earlier replies to their clients.
+    pub fn set_waiting_values(&self, bytes: usize) {
+        self.waiting_values.store(bytes, Ordering::Relaxed);
     }
 
     /// Returns the bytes that are in use for this purpose.
@@ -91,22 +107,24 @@
 
     /// Returns the bytes that each connection may hold, however much others hold.
     fn share_bytes(&self) -> usize {
-        let connections = self.connections.load(Ordering::Relaxed).max(1);
-        (SHARED_OUT_FRACTION.of(self.max_bytes()) / connections).max(MIN_SHARE_BYTES)
+        let shares = self.shares.load(Ordering::Relaxed).max(1);
+        (SHARED_OUT_FRACTION.of(self.max_bytes()) / shares).max(MIN_SHARE_BYTES)
     }
 }
 
 /// The memory that one connection holds; returned to the budget when it is dropped.
 pub struct HeldMemory {
     budget: Arc<MemoryBudget>,
+    has_share: bool,
     bytes: [AtomicUsize; USES],
 }
 
 impl HeldMemory {
-    /// Registers a connection that holds nothing yet.
-    pub fn new(budget: Arc<MemoryBudget>) -> HeldMemory {
+    /// Registers a connection that holds nothing yet. `has_share`: whether it is a client's, which gets a share.
+    pub fn new(budget: Arc<MemoryBudget>, has_share: bool) -> HeldMemory {
         budget.connections.fetch_add(1, Ordering::Relaxed);
-        HeldMemory { budget, bytes: Default::default() }
+        budget.shares.fetch_add(usize::from(has_share), Ordering::Relaxed);
+        HeldMemory { budget, has_share, bytes: Default::default() }
     }
 
     /// Records that the connection holds this many bytes for this purpose.
@@ -122,6 +140,11 @@
         self.bytes.iter().map(|bytes| bytes.load(Ordering::Relaxed)).sum()
     }
 
+    /// Whether the connection may hold what it holds.
+    pub fn is_allowed(&self) -> bool {
+        self.allows(0)
+    }
+
     /// Whether the connection may hold this many bytes more.
     pub fn allows(&self, more: usize) -> bool {
         self.budget.allows(self.total(), more)
@@ -133,6 +156,7 @@
         for memory_use in [MemoryUse::Input, MemoryUse::Commands, MemoryUse::Output] {
             self.set(memory_use, 0);
         }
+        self.budget.shares.fetch_sub(usize::from(self.has_share), Ordering::Relaxed);
         self.budget.connections.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/gateway/src/state/reducer.rs
+++ b/gateway/src/state/reducer.rs
@@ -39,6 +39,8 @@
     pub max_descriptors: usize,
     /// Maximum number of customers with an account.
     pub max_customers: usize,
+    /// Maximum number of bytes of the values that wait for earlier replies to their clients.
+    pub max_waiting_value_bytes: usize,
     /// Whether the listening socket was inherited, so that another process may listen on it too.
     pub inherited_listener: bool,
     /// Whether the interface for operators is open.
@@ -156,6 +158,11 @@
         self.clients.commands_in_batch.clear();
     }
 
+    /// Returns the bytes of the values that wait for earlier replies to their clients.
+    pub fn waiting_value_bytes(&self) -> usize {
+        self.clients.waiting_value_bytes
+    }
+
     /// Counts a command of the batch that is about to be handled.
     fn count_command_in_batch(&mut self, client: u64) {
         *self.clients.commands_in_batch.entry(client).or_default() += 1;
--- a/gateway/src/wire/resp/command.rs
+++ b/gateway/src/wire/resp/command.rs
@@ -59,6 +59,12 @@
     /// Appends the request as it is sent to a backend, with the time in milliseconds that this instance waits
     /// for the reply.
     pub fn encode(&self, timeout_ms: u64, out: &mut Vec<u8>) {
+        self.encode_start(timeout_ms, out);
+        out.extend_from_slice(self.rest());
+    }
+
+    /// Appends the beginning of the request as it is sent to a backend, up to the time; `rest` follows it.
+    pub fn encode_start(&self, timeout_ms: u64, out: &mut Vec<u8>) {
         let timeout = timeout_ms.to_string();
         let terminator_bytes = 2;
         let list_length = self.argument_item.end - self.arguments_start - self.timeout.len() + timeout.len()
@@ -67,7 +73,11 @@
         out.extend_from_slice(format!("${list_length}\r\n").as_bytes());
         out.extend_from_slice(&self.raw[self.arguments_start..self.timeout.start]);
         out.extend_from_slice(timeout.as_bytes());
-        out.extend_from_slice(&self.raw[self.timeout.end..]);
+    }
+
+    /// Returns the part of the message after the time: the rest of the argument list, and the body.
+    pub fn rest(&self) -> &[u8] {
+        &self.raw[self.timeout.end..]
     }
 }
 
--- a/gateway/src/wire/resp/reply.rs
+++ b/gateway/src/wire/resp/reply.rs
@@ -53,6 +53,14 @@
         ClientReply::Busy { retry_after_ms: retry_after.map(|seconds| (seconds * 1e3).ceil() as u64) }
     }
 
+    /// Returns the length of the value in this reply; 0 for any other reply.
+    pub fn value_bytes(&self) -> usize {
+        match self {
+            ClientReply::Value(value) => value.len(),
+            _ => 0,
+        }
+    }
+
     /// Appends the encoded reply to `out`.
     pub fn encode(&self, out: &mut Vec<u8>) {
         match self {
--- a/gateway/tests/memory.rs
+++ b/gateway/tests/memory.rs
@@ -123,3 +123,56 @@
     assert!(replies.iter().all(|reply| reply.starts_with("-BUSY ") || *reply == "v".repeat(10)));
     drop(writer.join().expect("the writer does not panic").expect("the gateway reads all commands"));
 }
+
+/// Connects this many clients that send this input and then neither send nor read anything.
+fn connect_silent_clients(address: SocketAddr, count: usize, input: &str) -> Vec<TcpStream> {
+    let connect = |_| {
+        let mut client = TcpStream::connect(address).expect("the gateway accepts the connection");
+        let receive_buffer = socket2::SockRef::from(&client).set_recv_buffer_size(8 * 1024);
+        receive_buffer.expect("an open socket");
+        client.set_nonblocking(true).expect("an open socket");
+        let _ = client.write(input.as_bytes()); // as much as the gateway reads at once
+        client
+    };
+    (0..count).map(connect).collect()
+}
+
+/// Guards against a process that is killed for its memory while hundreds of clients stop in the middle of a command.
+#[test]
+fn clients_that_stop_in_the_middle_of_a_command_do_not_exceed_the_memory() {
+    let gateway = start_gateway("half", 10);
+    for body_bytes in [LARGE_VALUE_BYTES, 3 * MEBIBYTE] {
+        let command = order(body_bytes);
+        let _clients = connect_silent_clients(gateway.address, 300, &command[..command.len() / 2]);
+        assert_memory_is_bounded(&gateway, Duration::from_secs(2));
+    }
+}
+
+/// Guards against the same with clients whose bodies of a megabyte arrive side by side, which left a heap of several
+/// times their size.
+#[test]
+fn bodies_that_grow_side_by_side_do_not_exceed_the_memory() {
+    let gateway = start_gateway("slow-bodies", 10);
+    let address = gateway.address;
+    let writer = spawn(move || {
+        let command = order(MEBIBYTE);
+        let mut clients = connect_silent_clients(address, 200, &command[..20_000]);
+        for piece in command.as_bytes()[20_000..].chunks(20_000) {
+            for client in &mut clients {
+                let _ = client.write(piece); // fails while the gateway does not read
+            }
+            sleep(Duration::from_millis(30));
+        }
+    });
+    assert_memory_is_bounded(&gateway, Duration::from_secs(3));
+    writer.join().expect("the writer does not panic");
+}
+
+/// Guards against the same with clients that do not read their replies.
+#[test]
+fn replies_that_are_not_read_do_not_exceed_the_memory() {
+    let gateway = start_gateway("unread", LARGE_VALUE_BYTES);
+    let requests: String = (0..60).map(|_| request("look", 3000)).collect();
+    let _clients = connect_silent_clients(gateway.address, 100, &requests);
+    assert_memory_is_bounded(&gateway, Duration::from_secs(3));
+}
--- a/gateway/tests/memory_budget.rs
+++ b/gateway/tests/memory_budget.rs
@@ -39,7 +39,7 @@
         for step in steps {
             match step {
                 Step::Open(id) => {
-                    open.entry(id).or_insert_with(|| (HeldMemory::new(budget.clone()), [0; 3]));
+                    open.entry(id).or_insert_with(|| (HeldMemory::new(budget.clone(), true), [0; 3]));
                 }
                 Step::Set { connection, memory_use, bytes } => {
                     if let Some((held, model)) = open.get_mut(&connection) {
@@ -62,8 +62,8 @@
 #[test]
 fn a_connection_that_fills_the_memory_leaves_the_others_their_shares() {
     let budget = MemoryBudget::new(32 * MEBIBYTE);
-    let usual: Vec<HeldMemory> = (0..100).map(|_| HeldMemory::new(budget.clone())).collect();
-    let greedy = HeldMemory::new(budget.clone());
+    let usual: Vec<HeldMemory> = (0..100).map(|_| HeldMemory::new(budget.clone(), true)).collect();
+    let greedy = HeldMemory::new(budget.clone(), true);
     let mut taken = 0;
     while greedy.allows(1024) {
         taken += 1024;
@@ -78,7 +78,7 @@
 fn connections_that_all_take_what_they_may_stay_within_the_limit() {
     for (memory_mb, connections) in [(32, 10), (32, 300), (32, 900), (64, 900), (192, 50), (192, 900)] {
         let budget = MemoryBudget::new(memory_mb * MEBIBYTE);
-        let held: Vec<HeldMemory> = (0..connections).map(|_| HeldMemory::new(budget.clone())).collect();
+        let held: Vec<HeldMemory> = (0..connections).map(|_| HeldMemory::new(budget.clone(), true)).collect();
         let mut progress = true;
         while progress {
             progress = false;
--- a/gateway/tests/reducer/bench.rs
+++ b/gateway/tests/reducer/bench.rs
@@ -34,6 +34,7 @@
         discovery: loaded.discovery,
         max_descriptors,
         max_customers: MAX_CUSTOMERS,
+        max_waiting_value_bytes: usize::MAX,
         inherited_listener,
         admin_enabled,
         saves_changes: admin_enabled,
--- a/load/src/scale/embedded/mod.rs
+++ b/load/src/scale/embedded/mod.rs
@@ -47,7 +47,7 @@
 struct EventCollector<'a>(&'a mut Vec<Event>);
 
 impl MessageSink for EventCollector<'_> {
-    fn event(&mut self, event: Event, _long_command_bytes: usize) {
+    fn event(&mut self, event: Event, _message_bytes: usize) {
         self.0.push(event);
     }
     fn body_chunk(&mut self, _bytes: &[u8], _is_last: bool) {}
@@ -98,6 +98,7 @@
             discovery: services.discovery,
             max_descriptors: MAX_DESCRIPTORS,
             max_customers: usize::MAX,
+            max_waiting_value_bytes: usize::MAX,
             inherited_listener: false,
             admin_enabled: false,
             saves_changes: false,
