Long commands: the wait for memory is a part of the request's own time

Cause: a command that waits for memory counted as possibly complete only with 64 KiB or more in the kernel (has_ready_input), so the last part of a request of 70 to 130 KB waited without limit, and its time began when it was read. Complete commands stayed in the list of slow senders (holding), so that checks evicted those in place of rejecting. A request whose wait had used up its time got a syntax error for d.

--- a/gateway/src/sockets/connection/read_loop.rs
+++ b/gateway/src/sockets/connection/read_loop.rs
@@ -127,6 +127,9 @@
         }
         let result = self.decode_postponed().and_then(|()| self.read_unread(ended));
         connection.memory.set(MemoryUse::Input, self.backlog.capacity());
+        if !self.stores_long_command() {
+            connection.release_long_input();
+        }
         Ok(result?)
     }
 
@@ -234,7 +237,7 @@
         let mut stores_long_command = self.stores_long_command();
         if stores_long_command && !connection.reserve_capacity() {
             if connection.memory.is_allowed() || connection.context.memory.fits(0) {
-                connection.wait_for_capacity();
+                connection.wait_for_capacity(self.backlog.incomplete_command());
                 return None;
             }
             self.drop_input();
--- a/gateway/src/sockets/connection/sink.rs
+++ b/gateway/src/sockets/connection/sink.rs
@@ -4,6 +4,9 @@
 use crate::state::framing::MessageSink;
 use crate::wire::resp::{BackendReply, ClientCommand};
 
+/// Shortest time that a request may have left, in milliseconds.
+const MIN_TIMEOUT_MS: f64 = 1.0;
+
 /// Receives the decoded messages of one connection.
 pub(super) struct EventSink<'a>(pub &'a Connection);
 
@@ -15,12 +18,14 @@
             self.0.count_command(0);
             return command;
         };
-        if !self.0.can_store_request(message_bytes) {
+        let timeout_ms = request.timeout_ms - waited_ms as f64;
+        let is_too_late = waited_ms > 0 && timeout_ms < MIN_TIMEOUT_MS;
+        if is_too_late || !self.0.can_store_request(message_bytes) {
             self.0.count_command(0);
             return ClientCommand::OutOfMemory { operation: request.operation().to_vec() };
         }
         self.0.count_command(message_bytes);
-        request.timeout_ms = (request.timeout_ms - waited_ms as f64).max(0.0);
+        request.timeout_ms = timeout_ms;
         ClientCommand::Request(request)
     }
 }
--- a/gateway/src/state/backlog.rs
+++ b/gateway/src/state/backlog.rs
@@ -22,6 +22,15 @@
     Overflow,
 }
 
+/// What is known of an incomplete command.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct IncompleteCommand {
+    /// Number of bytes that are missing; `usize::MAX` if that is not known yet.
+    pub missing_bytes: usize,
+    /// Time that its client waits for the reply, in milliseconds, if that is known.
+    pub timeout_ms: Option<f64>,
+}
+
 /// Progress of dropping commands as they arrive.
 #[derive(Default)]
 struct DropState {
@@ -82,6 +91,15 @@
         }
     }
 
+    /// Returns what is known of the incomplete command at the beginning of the buffer.
+    pub fn incomplete_command(&self) -> IncompleteCommand {
+        let missing_bytes = match resp::command_extent(self.bytes()) {
+            Ok(Extent::Missing(missing)) => missing,
+            _ => usize::MAX,
+        };
+        IncompleteCommand { missing_bytes, timeout_ms: resp::command_timeout_ms(self.bytes()) }
+    }
+
     /// Returns whether new commands are dropped.
     pub fn is_dropping(&self) -> bool {
         self.dropping.is_some()
--- a/gateway/src/wire/resp/command.rs
+++ b/gateway/src/wire/resp/command.rs
@@ -14,7 +14,7 @@
 /// Index of the item with the request's id.
 const REQUEST_ID_INDEX: usize = 2;
 /// Index of the item with the argument list.
-const ARGUMENT_LIST_INDEX: usize = 3;
+pub(super) const ARGUMENT_LIST_INDEX: usize = 3;
 
 /// A client's request. Its message is forwarded to backends byte for byte, except for the timeout.
 #[derive(Clone, Debug, PartialEq)]
--- a/gateway/src/wire/resp/extent.rs
+++ b/gateway/src/wire/resp/extent.rs
@@ -1,5 +1,7 @@
-//! The length of a command, computed from its length lines alone.
-use super::framing::{array_header, bulk_length, is_body, max_item_bytes, Element};
+//! What is known of a command before it is complete: its length, and its client's timeout.
+use super::command::ARGUMENT_LIST_INDEX;
+use super::framing::{array_header, bulk_length, bulk_string, is_body, max_item_bytes, Element};
+use super::reply::find_number;
 use super::MAX_MESSAGE_BYTES;
 use crate::wire::ProtocolError;
 
@@ -41,3 +43,15 @@
     }
     Ok(Extent::Complete(position))
 }
+
+/// Returns the time that the client of the first command in a buffer waits, in milliseconds, if its argument list has
+/// arrived. The command need not be complete or valid.
+pub fn command_timeout_ms(bytes: &[u8]) -> Option<f64> {
+    let mut position = array_header(bytes).ok()??.next;
+    let item = |position| bulk_string(bytes, position, max_item_bytes(false)).ok()?;
+    for _ in 0..ARGUMENT_LIST_INDEX {
+        position = item(position)?.next;
+    }
+    let argument_list = item(position)?.value?;
+    find_number(&bytes[argument_list], "d")
+}
--- a/gateway/tests/backlog.rs
+++ b/gateway/tests/backlog.rs
@@ -1,6 +1,6 @@
 //! The undecoded input of a connection: which commands are buffered and which are dropped when they arrive
 //! faster than they are accepted.
-use quillramp_gateway::state::backlog::{Backlog, Rejection, MAX_DROPPED_COMMANDS};
+use quillramp_gateway::state::backlog::{Backlog, IncompleteCommand, Rejection, MAX_DROPPED_COMMANDS};
 use quillramp_gateway::wire::resp::{command_extent, decode_command, Extent};
 
 /// Number of bytes by which a buffer grows.
@@ -115,3 +115,27 @@
     assert_eq!((backlog.try_stop_dropping(), backlog.len()), (false, 0));
     assert_eq!(backlog.next_rejection(), Some(Rejection::Overflow));
 }
+
+/// Guards against a request whose client's time is not known while it waits for memory, or whose end is in the kernel and
+/// taken for a part.
+#[test]
+fn the_missing_bytes_and_the_timeout_of_an_incomplete_command_are_known_once_its_body_begins() {
+    let arguments = "c=order,t=small,d=450,units=1,spread=1,first=0";
+    let head = format!(
+        "*5\r\n$9\r\nCALL.POST\r\n$16\r\n0000000000000005\r\n$16\r\n0000000000000001\r\n${}\r\n{arguments}\r\n",
+        arguments.len()
+    );
+    let command = format!("{head}$100000\r\n{}\r\n", "b".repeat(100_000));
+    for received in [0, 20, head.len() - 1] {
+        let mut backlog = Backlog::default();
+        backlog.extend(&command.as_bytes()[..received], 1024);
+        let expected = IncompleteCommand { missing_bytes: usize::MAX, timeout_ms: None };
+        assert_eq!(backlog.incomplete_command(), expected, "{received} bytes");
+    }
+    for received in [head.len() + 20, 70_000, command.len() - 1] {
+        let mut backlog = Backlog::default();
+        backlog.extend(&command.as_bytes()[..received], 1024);
+        let expected = IncompleteCommand { missing_bytes: command.len() - received, timeout_ms: Some(450.0) };
+        assert_eq!(backlog.incomplete_command(), expected, "{received} bytes");
+    }
+}
