Closed connections: output that a client takes slowly is bounded by descriptors only

The kernel ends peers that are gone.

replies_in_the_send_queue_reach_a_client_that_reads_on_11_s_after_a_drain: passes; on the former code not run.

--- a/gateway/src/sockets/connection/context.rs
+++ b/gateway/src/sockets/connection/context.rs
@@ -173,7 +173,8 @@
 
     /// Closes the connections that were shut down and whose output is acknowledged.
     pub fn close_lingering(&self) {
-        self.lingering.close_finished(self.descriptors_exhausted.load(Ordering::Relaxed));
+        let is_accepting_suspended = self.descriptors_exhausted.load(Ordering::Relaxed);
+        self.lingering.close_finished(is_accepting_suspended, self.max_clients);
     }
 
     /// Whether any client waits for memory for a long command.
--- a/gateway/src/sockets/connection/lingering.rs
+++ b/gateway/src/sockets/connection/lingering.rs
@@ -10,12 +10,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Time without an acknowledgement after which a peer counts as gone.
-const MAX_SILENCE: Duration = Duration::from_secs(10);
-/// The same while no descriptor is left for new clients.
+/// Time without an acknowledgement after which a descriptor is freed if descriptors run short. Otherwise no time ends the
+/// wait: the kernel gives a peer up that is gone.
 const MAX_SILENCE_SHORT_OF_DESCRIPTORS: Duration = Duration::from_secs(2);
-/// Maximum time for which a descriptor is kept.
-const MAX_DURATION: Duration = Duration::from_secs(30);
+/// The maximum number of clients divided by this is the number of descriptors that are kept before they count as short.
+const CLIENTS_DIVISOR: usize = 8;
 
 nix::ioctl_read_bad!(
     /// Reads the number of bytes in a socket's send queue that are not acknowledged yet.
@@ -27,7 +26,6 @@
 /// A connection whose output is not acknowledged completely.
 struct LingeringConnection {
     connection: Arc<Connection>,
-    started_at: Instant,
     /// Number of unacknowledged bytes at the last check.
     unacknowledged: usize,
     /// Time of the last check that found fewer unacknowledged bytes than the one before.
@@ -35,16 +33,15 @@
 }
 
 impl LingeringConnection {
-    /// Checks the send queue; returns whether the descriptor is still needed.
-    fn is_needed(&mut self, now: Instant, max_silence: Duration) -> bool {
+    /// Checks the send queue; returns whether the descriptor is kept.
+    fn is_kept(&mut self, now: Instant, is_short_of_descriptors: bool) -> bool {
         let unacknowledged = self.connection.unacknowledged_bytes();
         if unacknowledged < self.unacknowledged {
             self.unacknowledged = unacknowledged;
             self.progress_at = now;
         }
-        unacknowledged > 0
-            && now.duration_since(self.progress_at) < max_silence
-            && now.duration_since(self.started_at) < MAX_DURATION
+        let is_silent = now.duration_since(self.progress_at) >= MAX_SILENCE_SHORT_OF_DESCRIPTORS;
+        unacknowledged > 0 && !(is_short_of_descriptors && is_silent)
     }
 }
 
@@ -58,7 +55,6 @@
         let now = Instant::now();
         self.0.borrow_mut().push(LingeringConnection {
             connection: connection.clone(),
-            started_at: now,
             unacknowledged: connection.unacknowledged_bytes(),
             progress_at: now,
         });
@@ -69,12 +65,12 @@
         self.0.borrow().is_empty()
     }
 
-    /// Closes the connections whose output is acknowledged, and those whose peers are gone.
-    pub fn close_finished(&self, is_short_of_descriptors: bool) {
-        let max_silence =
-            if is_short_of_descriptors { MAX_SILENCE_SHORT_OF_DESCRIPTORS } else { MAX_SILENCE };
+    /// Closes the connections whose output is acknowledged and, if descriptors run short, those whose peers take nothing.
+    /// `max_clients`: maximum number of clients' connections, these included.
+    pub fn close_finished(&self, is_accepting_suspended: bool, max_clients: usize) {
+        let is_short = is_accepting_suspended || self.0.borrow().len() > max_clients / CLIENTS_DIVISOR;
         let now = Instant::now();
-        let is_finished = |lingering: &mut LingeringConnection| !lingering.is_needed(now, max_silence);
+        let is_finished = |lingering: &mut LingeringConnection| !lingering.is_kept(now, is_short);
         let finished: Vec<_> = self.0.borrow_mut().extract_if(.., is_finished).collect();
         drop(finished); // closes the sockets
     }
--- a/gateway/tests/shutdown.rs
+++ b/gateway/tests/shutdown.rs
@@ -185,6 +185,15 @@
     });
 }
 
+/// Guards against answers that are lost because their client pauses for longer than a time that the gateway chose.
+#[test]
+fn replies_in_the_send_queue_reach_a_client_that_reads_on_11_s_after_a_drain() {
+    assert_written_replies_survive_the_close("linger-pause", |_, operators| {
+        assert_eq!(admin_call(operators, "POST /healthcheck/fail"), "200 done");
+        sleep(11 * SECOND);
+    });
+}
+
 /// Guards against a process that waits for a client that never reads: it exits before the kill.
 #[test]
 fn a_client_that_never_reads_does_not_delay_the_exit_past_the_kill() {
