Slow senders: a body may take any time, and pauses of 2.5 s

And one that stopped behind 64 KiB was closed up to 5 s after its last byte, as checks were 2.5 s apart.

Change: progress counts from the first byte of the body, whatever its length; the next check is when the pause would be too long. What bounds slow senders are memory, as before, and descriptors: while those are short, the client with the longest incomplete command is closed (free_descriptor).

--- a/gateway/src/state/client_table.rs
+++ b/gateway/src/state/client_table.rs
@@ -33,7 +33,7 @@
     pub has_sent_command: bool,
     /// Time since which a command has been incomplete, in seconds.
     pub partial_since: Option<f64>,
-    /// Time when more of a long command last arrived, in seconds; infinite while the command waits for memory of this
+    /// Time when more of a command's body last arrived, in seconds; infinite while the command waits for memory of this
     /// process.
     pub body_progress_at: Option<f64>,
     /// Whether the client broke the protocol, so that the connection is closed once all commands are answered.
--- a/gateway/src/state/descriptors.rs
+++ b/gateway/src/state/descriptors.rs
@@ -3,7 +3,7 @@
 use super::client_table::Client;
 use super::connection::CloseReason;
 use super::effect::Effect;
-use super::idle::SHORT_CLIENT_IDLE_TIMEOUT;
+use super::idle::{PARTIAL_COMMAND_TIMEOUT, SHORT_CLIENT_IDLE_TIMEOUT};
 use super::reducer::Reducer;
 
 /// Number of file descriptors reserved for listening sockets, the log, the event loop and similar.
@@ -91,6 +91,7 @@
         self.close_inactive_client(now)
             || self.close_oldest_idle_backend_connection()
             || self.close_any_idle_client(now)
+            || self.close_slowest_sender(now)
             || self.close_silent_stream()
     }
 
@@ -100,6 +101,7 @@
         let _closed_one = self.close_inactive_client(now)
             || self.close_client_without_command()
             || self.close_any_idle_client(now)
+            || self.close_slowest_sender(now)
             || self.close_silent_stream();
     }
 
@@ -160,6 +162,17 @@
         self.evict_client(evicted)
     }
 
+    /// Closes the client whose command has been incomplete for the longest time, if a client that stops in the middle of a
+    /// command would have been closed by now; returns false if there was none.
+    fn close_slowest_sender(&mut self, now: f64) -> bool {
+        let senders = self.clients.connections.iter().filter(|(_, client)| client.is_answered());
+        let overdue = senders.filter_map(|(id, client)| Some((client.partial_since?, *id)));
+        let overdue = overdue.filter(|(since, _)| now - since >= PARTIAL_COMMAND_TIMEOUT);
+        let slowest = overdue
+            .min_by(|(since, id), (other_since, other)| since.total_cmp(other_since).then(id.cmp(other)));
+        self.evict_client(slowest.map(|(_, id)| id))
+    }
+
     /// Requests that the value be given up that has not moved for the longest time, if that is longer than backends leave
     /// a connection open on which nothing moves. Nothing is closed before the effect is carried out.
     fn close_silent_stream(&mut self) -> bool {
--- a/gateway/src/state/event.rs
+++ b/gateway/src/state/event.rs
@@ -101,7 +101,7 @@
     },
     /// A message on this connection is incomplete so far.
     PartialMessage(ConnectionId),
-    /// More bytes of a client's long command arrived.
+    /// More bytes of the body of a client's command arrived.
     BodyProgress {
         /// The client's connection.
         client: u64,
--- a/gateway/src/state/framing.rs
+++ b/gateway/src/state/framing.rs
@@ -97,7 +97,7 @@
                 }
                 DecodeStep::Consumed(length) => consumed += length,
                 DecodeStep::Partial => {
-                    sink.event(self.partial_message(rest.len()), 0);
+                    sink.event(self.partial_message(rest), 0);
                     return Ok(consumed);
                 }
                 DecodeStep::Blocked => return Ok(consumed),
@@ -154,7 +154,7 @@
         if length == 0 {
             return Ok(DecodeStep::Partial);
         }
-        sink.event(self.partial_message(bytes.len()), 0);
+        sink.event(self.partial_message(bytes), 0);
         Ok(DecodeStep::Consumed(length))
     }
 
@@ -202,10 +202,10 @@
         Ok(DecodeStep::Message { event, length })
     }
 
-    /// Returns the event for an incomplete message of which this number of bytes has been received.
-    fn partial_message(&self, bytes: usize) -> Event {
+    /// Returns the event for an incomplete message of which these bytes have been received.
+    fn partial_message(&self, bytes: &[u8]) -> Event {
         match self.connection {
-            ConnectionId::Client(client) if bytes > resp::MAX_MESSAGE_BYTES => {
+            ConnectionId::Client(client) if resp::has_begun_body(bytes) => {
                 Event::BodyProgress { client, has_capacity: true }
             }
             connection => Event::PartialMessage(connection),
--- a/gateway/src/state/idle.rs
+++ b/gateway/src/state/idle.rs
@@ -13,12 +13,9 @@
 const CLIENT_IDLE_TIMEOUT: f64 = 10.0;
 /// Time after which the counter closes an idle connection at the latest, in seconds.
 const COUNTER_IDLE_TIMEOUT: f64 = 10.0;
-/// Maximum time from the first byte of a command to its last, in seconds. A slow client may need 2 s, and a client
-/// that never completes its command must be closed within 3 s.
-const PARTIAL_COMMAND_TIMEOUT: f64 = 2.5;
-/// Maximum time from the first byte of a long command to its last, in seconds. It may pause for
-/// `PARTIAL_COMMAND_TIMEOUT` at a time.
-const LONG_COMMAND_TIMEOUT: f64 = 30.0;
+/// Maximum time from the first byte of a command to its body, and then without another byte, in seconds. A slow client
+/// may need 2 s for what precedes the body, and a client that stops within a command must be closed within 3 s.
+pub(super) const PARTIAL_COMMAND_TIMEOUT: f64 = 2.5;
 /// Time by which a timer may fire early, in seconds.
 const TIMER_TOLERANCE: f64 = 1e-3;
 /// Interval between checks for idle connections, in seconds.
@@ -38,7 +35,7 @@
         self.timers.schedule(now + PARTIAL_COMMAND_TIMEOUT, TimerKind::PartialCommand(id));
     }
 
-    /// Records the arrival of more bytes of a long command. `has_capacity`: whether there is memory for the rest of it.
+    /// Records the arrival of more bytes of a command's body. `has_capacity`: whether there is memory for the rest of it.
     pub(super) fn body_progressed(&mut self, now: f64, id: u64, has_capacity: bool) {
         self.partial_command_received(now, id);
         if let Some(client) = self.clients.connections.get_mut(&id) {
@@ -50,15 +47,15 @@
     pub(super) fn partial_command_timed_out(&mut self, now: f64, id: u64) {
         let Some(client) = self.clients.connections.get(&id) else { return };
         let Some(since) = client.partial_since else { return };
-        let seconds_without_progress = now - client.body_progress_at.unwrap_or(since);
-        let total_seconds = now - since;
-        let is_late = seconds_without_progress > PARTIAL_COMMAND_TIMEOUT - TIMER_TOLERANCE
-            || total_seconds > LONG_COMMAND_TIMEOUT;
+        let due = client.body_progress_at.unwrap_or(since) + PARTIAL_COMMAND_TIMEOUT;
+        let is_late = now > due - TIMER_TOLERANCE;
         if client.is_answered() && is_late {
             self.disconnect_client(id, CloseReason::Idle);
-        } else if total_seconds > PARTIAL_COMMAND_TIMEOUT - TIMER_TOLERANCE {
+        } else if now - since > PARTIAL_COMMAND_TIMEOUT - TIMER_TOLERANCE {
             // A command that began later has another timer.
-            self.timers.schedule(now + PARTIAL_COMMAND_TIMEOUT, TimerKind::PartialCommand(id));
+            let next_check = now + PARTIAL_COMMAND_TIMEOUT;
+            let next_check = if is_late { next_check } else { due.min(next_check) };
+            self.timers.schedule(next_check, TimerKind::PartialCommand(id));
         }
     }
 
--- a/gateway/src/wire/resp/extent.rs
+++ b/gateway/src/wire/resp/extent.rs
@@ -44,6 +44,15 @@
     Ok(Extent::Complete(position))
 }
 
+/// Returns whether the first command in a buffer is incomplete, and nothing but its body is missing.
+pub fn has_begun_body(bytes: &[u8]) -> bool {
+    let header = array_header(bytes).ok().flatten();
+    let item_count = header.and_then(|header| header.value).unwrap_or(0);
+    item_count > 0
+        && is_body(item_count - 1, item_count)
+        && matches!(command_extent(bytes), Ok(Extent::Missing(_)))
+}
+
 /// Returns the time that the client of the first command in a buffer waits, in milliseconds, if its argument list has
 /// arrived. The command need not be complete or valid.
 pub fn command_timeout_ms(bytes: &[u8]) -> Option<f64> {
--- a/gateway/src/wire/resp/mod.rs
+++ b/gateway/src/wire/resp/mod.rs
@@ -6,7 +6,7 @@
 mod reply;
 
 pub use command::{decode_command, ClientCommand, RequestCommand};
-pub use extent::{command_extent, command_timeout_ms, Extent};
+pub use extent::{command_extent, command_timeout_ms, has_begun_body, Extent};
 pub use reply::{
     decode_reply, decode_stream_head, decode_trailer, find_number, BackendReply, ClientReply, ReplyTrailer,
 };
