Emulator: long values in uneven parts, and a check on responses that break off

A part may now break off only if a connection with an attempt of the request ended for another reason than the process's own decision (PROTOCOL, Figures: through no fault of its own).

--- a/emulator/src/backend/mod.rs
+++ b/emulator/src/backend/mod.rs
@@ -1,5 +1,6 @@
 //! Model of a backend: a request queue, slow start, crashes, faulty replies and a connection limit. It is deliberately simple.
 mod fault_rates;
+mod paused_replies;
 mod replies;
 
 pub use fault_rates::FaultRates;
@@ -7,6 +8,7 @@
 use crate::context::Context;
 use crate::network::{LinkId, Remote, Side};
 use crate::scheduled_event::ScheduledEvent;
+use paused_replies::{split_reply, ReplyParts};
 use quillramp_gateway::wire::resp;
 use quillramp_gateway::wire::DecodedMessage;
 use rand::Rng;
@@ -55,6 +57,8 @@
     pipeline: VecDeque<u64>,
     /// Replies that wait for the replies to earlier jobs, by job number.
     replies: HashMap<u64, Vec<u8>>,
+    /// Parts of replies that are written after pauses.
+    parts: ReplyParts,
 }
 
 impl Connection {
@@ -226,11 +230,18 @@
         if bytes.is_empty() {
             return;
         }
-        if bytes.ends_with(SURPLUS_REPLY) && !connection.pipeline.is_empty() {
+        let is_last = connection.pipeline.is_empty() && connection.parts.is_empty();
+        if bytes.ends_with(SURPLUS_REPLY) && !is_last {
             // A surplus reply is sent only if no other job of the connection is pending.
             bytes.truncate(bytes.len() - SURPLUS_REPLY.len());
         }
-        let truncated = bytes.len() > LONG_REPLY_BYTES && !bytes.ends_with(b"\r\n");
+        let is_long = bytes.len() > LONG_REPLY_BYTES;
+        let truncated = is_long && !bytes.ends_with(b"\r\n");
+        if !connection.parts.is_empty() || is_long && ctx.world.paused_values > 0.0 {
+            let number = link as u64 ^ job << 32;
+            let parts = split_reply(ctx, number, bytes, truncated);
+            return self.queue_parts(ctx, link, parts);
+        }
         // A surplus reply has to arrive together with the reply before it: the gateway could not distinguish a later one from the
         // reply to the next request.
         if bytes.ends_with(SURPLUS_REPLY) {
--- a/emulator/src/checker/backend_replies.rs
+++ b/emulator/src/checker/backend_replies.rs
@@ -65,10 +65,14 @@
         request.record(now, RequestEvent::AttemptEnded { backend, outcome });
     }
 
-    /// Records that a connection to a backend ended, and with it the attempts in flight on it.
-    pub fn backend_disconnected(&mut self, now: f64, link: LinkId) {
+    /// Records that a connection to a backend ended, and with it the attempts in flight on it. `by_gateway`: whether the process closed it
+    /// without need.
+    pub fn backend_disconnected(&mut self, now: f64, link: LinkId, by_gateway: bool) {
         let Some(connection) = self.backends.remove(&link) else { return };
         for attempt in connection.in_flight {
+            if let Some(request) = self.requests.get_mut(&attempt.request) {
+                request.connection_lost |= !by_gateway;
+            }
             self.attempt_ended(now, attempt, AttemptOutcome::Ended);
         }
     }
--- a/emulator/src/checker/client_responses.rs
+++ b/emulator/src/checker/client_responses.rs
@@ -161,6 +161,11 @@
         }
     }
 
+    /// Whether no connection has ended that could have completed the response to a request.
+    fn is_cut_off(&self, id: u64) -> bool {
+        self.requests.get(&id).is_some_and(|request| !request.connection_lost)
+    }
+
     /// Checks that a value includes the id of its request, and that a backend sent a value for that request.
     fn check_value(&mut self, now: f64, id: u64, response: &[u8]) {
         let value_received = self.requests.get(&id).is_some_and(|request| request.value_received);
@@ -204,6 +209,13 @@
         if now <= process.stalled_until + TOLERANCE {
             return;
         }
+        let partly_answered = client.front_request().filter(|_| !client.response_bytes.is_empty());
+        if let Some(id) = partly_answered.filter(|id| self.is_cut_off(*id)) {
+            let message = format!(
+                "request {id:016x}: the process closed its connection {link} within the response, although the backend goes on"
+            );
+            return self.record_request_violation(Invariant::SingleResponse, now, id, message);
+        }
         if let Some(LostRequest { id, received_at }) = client.lost_request() {
             let message = format!(
                 "request {id:016x}, received at {received_at:.4}: the process closed its connection {link} without a response"
--- a/emulator/src/checker/request.rs
+++ b/emulator/src/checker/request.rs
@@ -85,6 +85,8 @@
     pub attempts: Vec<Attempt>,
     /// Whether the request's units have been charged to the customer's quota and ceiling.
     pub charged: bool,
+    /// Whether a connection with an attempt in flight ended for another reason than the process's own decision.
+    pub connection_lost: bool,
     /// Whether at least the head of a value from a backend has arrived for the request.
     pub value_received: bool,
     events: Vec<TimedEvent>,
@@ -101,6 +103,7 @@
             answered_at: None,
             attempts: vec![],
             charged: false,
+            connection_lost: false,
             value_received: false,
             events: vec![],
         }
--- a/emulator/src/gateway_process/connection.rs
+++ b/emulator/src/gateway_process/connection.rs
@@ -24,6 +24,8 @@
     pub reading_stopped: bool,
     /// Progress of the long value that is being streamed from this connection.
     pub stream_progress: Option<StreamProgress>,
+    /// Time at which the last attempt's client no longer waits, in seconds.
+    pub reply_due_at: f64,
     /// Whether the remote closed the connection after bytes that are not decoded yet.
     pub remote_closed: bool,
 }
@@ -40,6 +42,7 @@
             stream_to: None,
             reading_stopped: false,
             stream_progress: None,
+            reply_due_at: f64::INFINITY,
             remote_closed: false,
         }
     }
--- a/emulator/src/gateway_process/effects.rs
+++ b/emulator/src/gateway_process/effects.rs
@@ -112,6 +112,7 @@
         let non_idempotent = idempotency == Some(&Idempotency::NonIdempotent);
         let duplicated = non_idempotent && self.duplicates_attempt(ctx);
         let Some(connection) = self.connections.get_mut(&ConnectionId::Backend(connection)) else { return };
+        connection.reply_due_at = ctx.now + timeout_ms as f64 / 1e3;
         connection.write_buffer.append(attempt, |buffer| {
             request.encode(timeout_ms, buffer);
             if duplicated {
--- a/emulator/src/gateway_process/inbound.rs
+++ b/emulator/src/gateway_process/inbound.rs
@@ -189,7 +189,8 @@
         unsent: bool,
     ) {
         let Some(connection) = self.connections.remove(&id) else { return };
-        self.report_closed(ctx, id, connection.link, false);
+        let by_gateway = reason == CloseReason::DescriptorPressure;
+        self.report_closed(ctx, id, connection.link, by_gateway);
         ctx.close(connection.link, Side::Gateway);
         if let Some(progress) = connection.stream_progress {
             let stream = progress.interrupted(ctx.now);
--- a/emulator/src/gateway_process/injected_defect.rs
+++ b/emulator/src/gateway_process/injected_defect.rs
@@ -1,7 +1,7 @@
 //! Defects that can be injected into gateway processes, to verify that the checker detects them.
 use super::GatewayProcess;
 use crate::context::Context;
-use quillramp_gateway::state::connection::ConnectionId;
+use quillramp_gateway::state::connection::{CloseReason, ConnectionId};
 use quillramp_gateway::state::event::Event;
 use quillramp_gateway::state::log_message::LogMessage;
 use quillramp_gateway::wire::endpoints::EndpointList;
@@ -16,6 +16,9 @@
     /// Commands of busy clients are read and discarded once a drain rejects them.
     #[value(name = "discards-late-input")]
     DiscardsLateInput,
+    /// A long value is ended once its client's timeout has passed and its backend pauses.
+    #[value(name = "ends-silent-values")]
+    EndsSilentStreams,
     /// One response in fifty is written twice.
     #[value(name = "answers-twice")]
     DuplicatesResponses,
@@ -41,6 +44,11 @@
 /// Probability that an attempt of a non-idempotent operation is written twice.
 const ATTEMPT_DEFECT_PROBABILITY: f64 = 0.05;
 
+/// Pause of a backend, and time since the client's timeout, at which a long value is ended, in seconds.
+const SILENT_STREAM_SECONDS: f64 = 0.35;
+/// Interval between two checks of long values, in seconds.
+const SILENT_STREAM_CHECK_INTERVAL: f64 = 0.1;
+
 impl GatewayProcess {
     fn has_defect(&self, defect: InjectedDefect) -> bool {
         self.defect == Some(defect)
@@ -61,6 +69,27 @@
         }
     }
 
+    /// Ends the long values whose backends pause if the process has this defect.
+    pub(super) fn end_silent_streams(&mut self, ctx: &mut Context) {
+        if !self.has_defect(InjectedDefect::EndsSilentStreams) {
+            return;
+        }
+        let streams = self
+            .connections
+            .iter()
+            .filter_map(|(id, open)| Some((*id, open.stream_progress?, open.reply_due_at)));
+        let streams: Vec<_> = streams.collect();
+        for (id, progress, due_at) in &streams {
+            let is_overdue = ctx.now - due_at >= SILENT_STREAM_SECONDS;
+            if is_overdue && progress.silence(ctx.now) >= SILENT_STREAM_SECONDS {
+                self.connection_failed(ctx, *id, CloseReason::DescriptorPressure, false);
+            }
+        }
+        if !streams.is_empty() {
+            self.wake(ctx, ctx.now + SILENT_STREAM_CHECK_INTERVAL);
+        }
+    }
+
     /// Returns whether the next response is written twice, drawn at random if the process has this defect.
     pub(super) fn duplicates_response(&self, ctx: &mut Context) -> bool {
         self.has_defect(InjectedDefect::DuplicatesResponses) && ctx.draw_bool(RESPONSE_DEFECT_PROBABILITY)
--- a/emulator/src/gateway_process/mod.rs
+++ b/emulator/src/gateway_process/mod.rs
@@ -190,6 +190,7 @@
             self.wake(ctx, self.stalled_until);
             return vec![];
         }
+        self.end_silent_streams(ctx);
         let mut events = std::mem::take(&mut self.inbox);
         self.reducer.handle_batch(ctx.now, &mut events);
         let ReducerOutput { next_poll_at, effects } = self.reducer.poll(ctx.now);
--- a/emulator/src/gateway_process/outbound.rs
+++ b/emulator/src/gateway_process/outbound.rs
@@ -58,7 +58,7 @@
     pub(super) fn report_closed(&self, ctx: &mut Context, id: ConnectionId, link: LinkId, by_gateway: bool) {
         match id {
             ConnectionId::Client(_) => ctx.checker.client_disconnected(ctx.now, link, by_gateway),
-            ConnectionId::Backend(_) => ctx.checker.backend_disconnected(ctx.now, link),
+            ConnectionId::Backend(_) => ctx.checker.backend_disconnected(ctx.now, link, by_gateway),
             _ => {}
         }
     }
--- a/emulator/src/scenario/generate.rs
+++ b/emulator/src/scenario/generate.rs
@@ -10,15 +10,23 @@
 /// Maximum number of requests per second.
 const MAX_REQUEST_RATE: f64 = 220.0;
 
+/// Distinguishes the random draws about pauses from the others of a seed.
+const PAUSES_SEED: u64 = 0x7061_7573_6573;
+
 impl Scenario {
     /// Generates the scenario of a seed: a world in which the invariants must hold, and faults that may overlap.
     pub fn generate(seed: u64) -> Scenario {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let world = generate_world(&mut rng);
+        let mut world = generate_world(&mut rng);
         let seconds = rng.gen_range(6.0..10.0);
         let count = rng.gen_range(1..=6);
         let mut faults: Vec<Fault> = (0..count).map(|_| generate_fault(&mut rng, &world, seconds)).collect();
         faults.sort_by(|a, b| a.at.total_cmp(&b.at));
+        // Drawn apart, so that seeds without pauses keep their scenarios.
+        if world.long_values > 0.0 {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed ^ PAUSES_SEED);
+            world.paused_values = [0.0, 0.3, 1.0].choose(&mut rng).copied().unwrap_or(0.0);
+        }
         Scenario { seed, seconds, world, faults }
     }
 }
@@ -46,6 +54,7 @@
         network_delay: [0.0003, rng.gen_range(0.0005..0.006)],
         split_writes: rng.gen_range(0.0..0.3),
         long_values: [0.0, 0.0, 0.02].choose(rng).copied().unwrap_or(0.0),
+        paused_values: 0.0,
         hedging: rng.gen_bool(0.6),
         cancellation: rng.gen_bool(0.8),
         gossip: rng.gen_bool(0.7),
--- a/emulator/src/scenario/world.rs
+++ b/emulator/src/scenario/world.rs
@@ -39,6 +39,9 @@
     /// Fraction of values and of request bodies that are too long to be buffered whole.
     #[serde(rename = "long")]
     pub long_values: f64,
+    /// Fraction of the long values that a backend writes in uneven parts, with pauses of up to seconds.
+    #[serde(rename = "paused")]
+    pub paused_values: f64,
     /// Whether hedged requests are allowed.
     #[serde(rename = "second_copies")]
     pub hedging: bool,
@@ -98,6 +101,7 @@
             network_delay: [0.0003, 0.003],
             split_writes: 0.1,
             long_values: 0.01,
+            paused_values: 0.0,
             hedging: true,
             cancellation: true,
             gossip: true,
--- a/emulator/src/scheduled_event.rs
+++ b/emulator/src/scheduled_event.rs
@@ -49,6 +49,13 @@
         /// Number of the job at this backend.
         job: u64,
     },
+    /// A backend writes the next part of a reply with pauses.
+    ReplyPartDue {
+        /// The backend.
+        backend: usize,
+        /// The link that it writes to.
+        link: LinkId,
+    },
     /// A fault of the scenario starts or ends.
     FaultBoundary {
         /// Index into the scenario's faults.
--- a/emulator/src/simulation/dispatch.rs
+++ b/emulator/src/simulation/dispatch.rs
@@ -35,6 +35,9 @@
             ScheduledEvent::JobCompleted { backend, job } => {
                 self.backends[backend].job_completed(&mut self.ctx, job)
             }
+            ScheduledEvent::ReplyPartDue { backend, link } => {
+                self.backends[backend].reply_part_due(&mut self.ctx, link)
+            }
             ScheduledEvent::BackendStarts { backend, incarnation } => {
                 self.start_backend(backend, incarnation)
             }
--- a/emulator/tests/emulator.rs
+++ b/emulator/tests/emulator.rs
@@ -106,6 +106,19 @@
     }
 }
 
+/// Guards against a check that excuses a process from each response that it has written in part: a long value that was cut off at a time
+/// of the process's choice, while its backend went on, was not detected.
+#[test]
+fn values_that_are_ended_while_their_backends_pause_are_detected() {
+    const SEEDS: u64 = 60;
+    let detected = detected_invariants(InjectedDefect::EndsSilentStreams, SEEDS);
+    assert!(
+        detected.len() as u64 >= SEEDS / 10
+            && detected.iter().all(|invariant| *invariant == Invariant::SingleResponse),
+        "detected {detected:?}"
+    );
+}
+
 /// Guards against warming backends that get more than they can do: slow start holds on average, and not at every moment.
 #[test]
 fn warming_backends_are_not_overloaded_in_seeds_that_long_sweeps_found() {
