List service: a connection on which a list arrives is not given up

Change: each part of a response extends the time of its connection; there are two connections at most, as before.

--- a/gateway/src/state/discovery.rs
+++ b/gateway/src/state/discovery.rs
@@ -23,7 +23,7 @@
 #[derive(Clone, Copy)]
 pub(super) struct OverdueWatch {
     connection: u64,
-    /// Time until which it is kept, in seconds.
+    /// Time until which it is kept, in seconds, unless more of its response arrives.
     until: f64,
 }
 
@@ -34,6 +34,8 @@
     pub connection: Option<u64>,
     /// The timeout of the pending request.
     timer: TimerKey,
+    /// Time at which a part of its response last arrived, in seconds; `None` if nothing has.
+    progress_at: Option<f64>,
     /// Whether a response was due and none has arrived since.
     is_unresponsive: bool,
     /// The unresponsive connection that is kept, if there is one.
@@ -122,7 +124,21 @@
         self.effects.push(Effect::HttpRequest { connection, request });
     }
 
+    /// Records that a part of a response has arrived: a connection is not given up while its response arrives, however
+    /// slowly.
+    pub(super) fn partial_endpoint_list(&mut self, now: f64, id: u64) {
+        if self.discovery.connection == Some(id) {
+            self.discovery.progress_at = Some(now);
+        }
+        if let Some(overdue) =
+            self.discovery.overdue_watch.as_mut().filter(|overdue| overdue.connection == id)
+        {
+            overdue.until = now + MAX_WATCH_SECONDS;
+        }
+    }
+
     fn schedule_watch_timeout(&mut self, now: f64, id: u64) {
+        self.discovery.progress_at = None;
         self.timers.cancel(self.discovery.timer);
         // The list service also sends the complete list without a wait.
         let is_immediate = self.discovery.is_unresponsive || self.discovery.version.is_none();
@@ -140,6 +156,12 @@
         if self.discovery.overdue_watch.is_some_and(|overdue| now >= overdue.until) {
             self.close_overdue_watch(CloseReason::Unresponsive);
         }
+        let is_arriving = self.discovery.progress_at.is_some_and(|at| now - at < RESPONSE_GRACE_SECONDS);
+        if is_arriving && self.discovery.overdue_watch.is_some() {
+            let next_check = now + RESPONSE_GRACE_SECONDS;
+            self.discovery.timer = self.timers.schedule(next_check, TimerKind::WatchTimeout(id));
+            return;
+        }
         if self.discovery.overdue_watch.is_none() {
             self.discovery.overdue_watch =
                 Some(OverdueWatch { connection: id, until: now + MAX_WATCH_SECONDS });
--- a/gateway/src/state/dispatch.rs
+++ b/gateway/src/state/dispatch.rs
@@ -62,7 +62,8 @@
             ConnectionId::Client(id) => self.partial_command_received(now, id),
             ConnectionId::Backend(id) => self.unexpected_backend_data(id),
             ConnectionId::Counter(id) => self.unexpected_counter_data(id),
-            ConnectionId::Discovery(_) | ConnectionId::Admin(_) => {}
+            ConnectionId::Discovery(id) => self.partial_endpoint_list(now, id),
+            ConnectionId::Admin(_) => {}
         }
     }
 
--- a/gateway/tests/reducer/peers.rs
+++ b/gateway/tests/reducer/peers.rs
@@ -160,6 +160,28 @@
     "#]]);
 }
 
+/// Guards against an endpoint list that never arrives: its connection was closed 5 s after its response was due, although
+/// parts of it kept arriving, and each new connection 0.4 s after its start.
+#[test]
+fn a_connection_on_which_an_endpoint_list_arrives_slowly_is_not_given_up() {
+    let mut bench = bench();
+    bench.event(Event::Connected(ConnectionId::Discovery(1))).run_until(5.5);
+    bench.event(Event::Connected(ConnectionId::Discovery(2)));
+    for part in 1..50 {
+        bench.run_until(5.4 + f64::from(part) * 0.3);
+        bench.event(Event::PartialMessage(ConnectionId::Discovery(1)));
+        bench.event(Event::PartialMessage(ConnectionId::Discovery(2)));
+    }
+    bench.event(unchanged_endpoints(2)).run_until(20.4);
+    bench.assert_trace(expect![[r#"
+        0.000 Discovery(1): watch since 41
+        5.400 connect Discovery(2) to 127.0.0.1:7002
+        5.500 Discovery(2): since 41, at once
+        20.100 log: connection list 1 ended: silent
+        20.100 Discovery(2): watch since 41
+    "#]]);
+}
+
 /// Guards against pauses between the calls to a list service that can't be reached: the gateway keeps
 /// connecting, however long the outage lasts.
 #[test]
