Sockets: only EAGAIN drains or fills a socket, and failed calls are tried again by a timer

Change: sockets/failure.rs names each error and its consequence, in one place for reads, writes, gossip and accept; what the kernel can't do for a moment is tried again after 10 ms by the driver's timer. Each read ends with one more call than before, as EAGAIN is the only sign that is documented.

--- a/gateway/src/sockets/acceptor.rs
+++ b/gateway/src/sockets/acceptor.rs
@@ -1,13 +1,15 @@
 //! Accepts connections of clients and operators; pauses while file descriptors are exhausted.
 use super::connection::{Connection, ConnectionContext};
 use super::driver::Connections;
+use super::failure::AcceptFailure;
 use crate::state::connection::ConnectionId;
 use crate::state::event::Event;
 use may::io::{CoIo, WaitIo};
-use std::io::ErrorKind;
+use std::io::Error;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// Maximum number of connections that the kernel queues for a listening socket.
 const LISTEN_BACKLOG: i32 = 1024;
@@ -15,6 +17,9 @@
 /// Maximum number of connections that are accepted in one turn; other connections are served before the next one.
 const MAX_TURN_CONNECTIONS: usize = 64;
 
+/// Interval between two lines in the log about errors of accepting.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Opens a listening socket, in blocking mode.
 pub fn listen(address: SocketAddr) -> Result<TcpListener, ListenError> {
     bind(address).map_err(|source| ListenError::Bind { address, source })
@@ -75,6 +80,8 @@
     shared: AcceptorContext,
     /// Number of the last accepted connection.
     last_number: u64,
+    /// Time of the last line in the log about an error.
+    logged_at: Option<Instant>,
 }
 
 impl Acceptor {
@@ -86,7 +93,7 @@
     ) -> Result<Acceptor, ListenError> {
         let listener = CoIo::new(listener).map_err(|error| ListenError::Register(error.into()))?;
         shared.context.acceptors.borrow_mut().push(listener.waker());
-        Ok(Acceptor { listener, kind, shared, last_number: 0 })
+        Ok(Acceptor { listener, kind, shared, last_number: 0, logged_at: None })
     }
 
     /// Starts the coroutine that accepts connections.
@@ -128,13 +135,14 @@
             }
             match self.listener.inner().accept() {
                 Ok((stream, peer)) => self.open(stream, peer),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return true,
-                Err(error) if is_transient(error.kind()) => {}
-                Err(error) => {
-                    tracing::warn!("accepting a connection failed: {error}");
-                    self.descriptors_exhausted();
-                    return true;
-                }
+                Err(error) => match AcceptFailure::of(&error) {
+                    AcceptFailure::WouldBlock => return true,
+                    AcceptFailure::TryNext => {}
+                    failure => {
+                        self.accept_failed(failure, &error);
+                        return true;
+                    }
+                },
             }
         }
         false
@@ -159,6 +167,18 @@
         }
     }
 
+    /// Logs an error, and schedules the next attempt: what ends the failure need not be an event of this process.
+    fn accept_failed(&mut self, failure: AcceptFailure, error: &Error) {
+        if self.logged_at.is_none_or(|at| at.elapsed() >= LOG_INTERVAL) {
+            self.logged_at = Some(Instant::now());
+            tracing::warn!("accepting a connection failed: {error}");
+        }
+        if failure == AcceptFailure::NoDescriptor {
+            self.descriptors_exhausted();
+        }
+        self.shared.context.retry_accepting_later();
+    }
+
     /// Reports that no descriptor is left, so that the reducer may close idle connections. Accepting resumes
     /// when a connection has released its descriptor.
     fn descriptors_exhausted(&self) {
@@ -166,7 +186,3 @@
         self.shared.context.events.push(Event::DescriptorsExhausted);
     }
 }
-
-fn is_transient(kind: ErrorKind) -> bool {
-    matches!(kind, ErrorKind::Interrupted | ErrorKind::ConnectionAborted)
-}
--- a/gateway/src/sockets/connection/context.rs
+++ b/gateway/src/sockets/connection/context.rs
@@ -50,6 +50,10 @@
     /// Connections whose turn has ended before their input. They continue once all connections that are ready
     /// have had a turn.
     deferred: AtomicRefCell<Vec<Arc<Connection>>>,
+    /// Connections with a call that failed because the kernel was out of resources. They try again a little later.
+    retrying: AtomicRefCell<Vec<Arc<Connection>>>,
+    /// Set when accepting has failed in the same way.
+    accepting_retries: AtomicBool,
     /// Set when an acceptor's turn has ended before the queue of the kernel.
     accepting_deferred: AtomicBool,
     /// Number of turns that ended before the input since the driver last added them to the statistics.
@@ -88,6 +92,8 @@
             exempt_client: AtomicUsize::new(0),
             long_inputs: LongInputs::default(),
             deferred: AtomicRefCell::default(),
+            retrying: AtomicRefCell::default(),
+            accepting_retries: AtomicBool::new(false),
             accepting_deferred: AtomicBool::new(false),
             deferred_turns: AtomicUsize::new(0),
             expected_value_bytes: AtomicUsize::new(0),
@@ -150,6 +156,33 @@
         self.events.wake();
     }
 
+    /// Gives a connection another turn a little later.
+    pub(super) fn retry_later(&self, connection: &Arc<Connection>) {
+        self.retrying.borrow_mut().push(connection.clone());
+        self.events.wake();
+    }
+
+    /// Lets the acceptors try again a little later.
+    pub fn retry_accepting_later(&self) {
+        self.accepting_retries.store(true, Ordering::Relaxed);
+        self.events.wake();
+    }
+
+    /// Whether any call is to be tried again.
+    pub fn has_retries(&self) -> bool {
+        self.accepting_retries.load(Ordering::Relaxed) || !self.retrying.borrow().is_empty()
+    }
+
+    /// Tries again the calls that have failed because the kernel was out of resources.
+    pub fn retry_failed_calls(&self) {
+        if self.accepting_retries.swap(false, Ordering::Relaxed) {
+            self.wake_acceptors();
+        }
+        for connection in self.retrying.borrow_mut().drain(..) {
+            connection.waker.wakeup();
+        }
+    }
+
     /// Whether the turn of any connection has ended before its input, or that of an acceptor.
     pub fn has_deferred(&self) -> bool {
         self.accepting_deferred.load(Ordering::Relaxed) || !self.deferred.borrow().is_empty()
--- a/gateway/src/sockets/connection/lifecycle.rs
+++ b/gateway/src/sockets/connection/lifecycle.rs
@@ -68,6 +68,8 @@
             operator_answered: AtomicBool::new(false),
             reading_stopped: AtomicBool::new(false),
             discards_output: AtomicBool::new(false),
+            retries_write: AtomicBool::new(false),
+            write_failed: AtomicBool::new(false),
             is_deferred: AtomicBool::new(false),
             reports_written_output: AtomicBool::new(false),
             memory: HeldMemory::new(context.memory.clone(), matches!(id, ConnectionId::Client(_))),
@@ -103,7 +105,7 @@
     }
 
     /// Closes the connection from this side, after its buffered output is written.
-    pub fn close(&self) {
+    pub fn close(self: &Arc<Connection>) {
         self.closed.store(true, Ordering::Relaxed);
         // A backend's buffer may have an attempt that was cancelled in the same batch. It is dropped, because
         // the backend would execute it.
@@ -156,5 +158,7 @@
 }
 
 fn is_in_progress(error: &Error) -> bool {
-    error.kind() == ErrorKind::WouldBlock || error.raw_os_error() == Some(IN_PROGRESS)
+    // An interrupted connect goes on.
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
+        || error.raw_os_error() == Some(IN_PROGRESS)
 }
--- a/gateway/src/sockets/connection/mod.rs
+++ b/gateway/src/sockets/connection/mod.rs
@@ -68,6 +68,10 @@
     reading_stopped: AtomicBool,
     /// Set when output that the client has not taken is discarded at the end of the connection.
     discards_output: AtomicBool,
+    /// Set when output is written again at the next turn, because the kernel was out of resources.
+    retries_write: AtomicBool,
+    /// Set when a write has failed, so that the connection ends.
+    write_failed: AtomicBool,
     /// Set while the connection waits for its next turn.
     is_deferred: AtomicBool,
     /// Set when the reducer is to be notified once all output is written.
--- a/gateway/src/sockets/connection/read_loop.rs
+++ b/gateway/src/sockets/connection/read_loop.rs
@@ -1,13 +1,14 @@
 //! The coroutine of a connection: waits for readiness, reads and decodes until the connection ends.
 use super::readiness::{ENDED, ERROR, READABLE, WRITABLE};
 use super::{Connection, READ_BUFFER_BYTES};
+use crate::sockets::failure::SocketFailure;
 use crate::state::backlog::Backlog;
 use crate::state::connection::{CloseReason, ConnectionId};
 use crate::state::event::Event;
 use crate::state::memory_budget::MemoryUse;
 use crate::wire::resp;
 use may::io::WaitIo;
-use std::io::{ErrorKind, Read};
+use std::io::Read;
 use std::net::Shutdown;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -108,9 +109,13 @@
             }
             self.establish(flags)?;
         }
-        if flags & WRITABLE != 0 && !connection.is_flushed() {
+        let retries_write = connection.retries_write.swap(false, Ordering::Relaxed);
+        if (flags & WRITABLE != 0 || retries_write) && !connection.is_flushed() {
             connection.flush();
         }
+        if connection.write_failed.load(Ordering::Relaxed) {
+            return Err(ConnectionEnd::Lost(CloseReason::Reset));
+        }
         if connection.closed.load(Ordering::Relaxed) {
             self.finish_closing(flags)?;
         }
@@ -197,11 +202,8 @@
         Ok(())
     }
 
-    /// Reads until the input is drained or reading is paused.
-    ///
-    /// A read that does not fill the window drains the input. Reading continues all the same if the peer has
-    /// closed the connection, or may have while reading was paused: then the end of the connection is found
-    /// in the same turn as the commands before it.
+    /// Reads until the input is drained or reading is paused. Only a read that would block shows that it is drained: a
+    /// shorter read than asked for may leave input, and readiness is reported once.
     fn read(&mut self, ended: bool) -> Result<ReadOutcome, CloseReason> {
         let connection = self.connection;
         let mut read_buffer = connection.context.read_buffer.borrow_mut();
@@ -216,13 +218,23 @@
                         continue;
                     }
                     self.process_input(&read_buffer[..length])?;
-                    if let Some(outcome) = self.outcome_after_read(length < window, ended) {
-                        return Ok(outcome);
+                    if !ended && self.must_pause_reading() {
+                        connection.stream_source.waits_for_client.store(true, Ordering::Relaxed);
+                        return Ok(ReadOutcome::MoreToRead);
                     }
                 }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(ReadOutcome::Drained),
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return Err(CloseReason::Reset),
+                Err(error) => match SocketFailure::of(&error) {
+                    SocketFailure::WouldBlock => {
+                        connection.stream_source.waits_for_client.store(false, Ordering::Relaxed);
+                        return Ok(ReadOutcome::Drained);
+                    }
+                    SocketFailure::Interrupted => {}
+                    SocketFailure::OutOfResources => {
+                        connection.context.retry_later(connection);
+                        return Ok(ReadOutcome::MoreToRead);
+                    }
+                    SocketFailure::Broken => return Err(CloseReason::Reset),
+                },
             }
         }
     }
@@ -279,22 +291,6 @@
             && self.backlog.holds_long_command()
     }
 
-    /// Returns the outcome if reading stops after a read, or `None` if it continues. `is_short`: the read did
-    /// not fill its window.
-    fn outcome_after_read(&self, is_short: bool, ended: bool) -> Option<ReadOutcome> {
-        let waits_for_client = &self.connection.stream_source.waits_for_client;
-        let is_drained = is_short && !self.was_paused;
-        if !ended && self.must_pause_reading() {
-            waits_for_client.store(true, Ordering::Relaxed);
-            return Some(if is_drained { ReadOutcome::Drained } else { ReadOutcome::MoreToRead });
-        }
-        if !ended && is_drained {
-            waits_for_client.store(false, Ordering::Relaxed);
-            return Some(ReadOutcome::Drained);
-        }
-        None
-    }
-
     /// Whether backpressure stops reading: from a backend until the client has room for more of the streamed
     /// value, from any other peer until it has read more of this connection's output. A client that leaves
     /// without reading its replies is noticed all the same, because its kernel sends a reset at once.
--- a/gateway/src/sockets/connection/writing.rs
+++ b/gateway/src/sockets/connection/writing.rs
@@ -1,17 +1,19 @@
 //! Writes a connection's buffered output to its socket.
 use super::{Connection, MAX_RETAINED_BUFFER_BYTES};
+use crate::sockets::failure::SocketFailure;
 use crate::state::connection::ConnectionId;
 use crate::state::event::Event;
 use crate::state::memory_budget::MemoryUse;
 use crate::state::write_buffer::WriteBuffer;
-use std::io::{ErrorKind, Write};
+use std::io::Write;
 use std::net::Shutdown;
 use std::sync::atomic::Ordering;
+use std::sync::Arc;
 
 impl Connection {
     /// Writes as much buffered output as the socket accepts; the rest is written when the socket becomes
     /// writable.
-    pub fn flush(&self) {
+    pub fn flush(self: &Arc<Connection>) {
         let mut write_buffer = self.write_buffer.borrow_mut();
         while !write_buffer.is_empty() {
             let available = write_buffer.bytes().len();
@@ -43,13 +45,26 @@
     }
 
     /// Writes as many of these bytes as the socket accepts; returns their number.
-    fn write(&self, bytes: &[u8]) -> usize {
+    fn write(self: &Arc<Connection>, bytes: &[u8]) -> usize {
         let mut written = 0;
         while written < bytes.len() {
             match self.stream.inner().write(&bytes[written..]) {
-                Ok(length) if length > 0 => written += length,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                _ => break, // the socket is full, or has failed, which the read loop reports
+                Ok(0) => break,
+                Ok(length) => written += length,
+                Err(error) => match SocketFailure::of(&error) {
+                    SocketFailure::Interrupted => {}
+                    SocketFailure::WouldBlock => break,
+                    SocketFailure::OutOfResources => {
+                        self.retries_write.store(true, Ordering::Relaxed);
+                        self.context.retry_later(self);
+                        break;
+                    }
+                    SocketFailure::Broken => {
+                        self.write_failed.store(true, Ordering::Relaxed);
+                        self.waker.wakeup();
+                        break;
+                    }
+                },
             }
         }
         written
@@ -57,7 +72,7 @@
 
     /// Writes a client's buffered output; returns whether nothing is left. Otherwise `ClientOutputWritten`
     /// follows when the rest is written.
-    pub fn flush_or_report_later(&self) -> bool {
+    pub fn flush_or_report_later(self: &Arc<Connection>) -> bool {
         self.flush();
         let is_flushed = self.is_flushed();
         self.reports_written_output.store(!is_flushed, Ordering::Relaxed);
--- a/gateway/src/sockets/driver.rs
+++ b/gateway/src/sockets/driver.rs
@@ -56,6 +56,8 @@
 const EXIT_CHECK_INTERVAL: f64 = 0.005;
 /// Interval at which clients are checked whose long commands wait for memory, in seconds.
 const WAITING_CHECK_INTERVAL: f64 = 0.05;
+/// Time after which a socket call is tried again that failed because the kernel was out of resources, in seconds.
+const RETRY_INTERVAL: f64 = 0.01;
 /// Interval at which connections that were shut down are checked for unacknowledged output, in seconds.
 const LINGER_CHECK_INTERVAL: f64 = 0.02;
 
@@ -108,6 +110,7 @@
             if self.context.events.wait(&mut events) {
                 timer_at = f64::INFINITY;
                 self.context.resume_deferred();
+                self.context.retry_failed_calls();
             }
         }
     }
@@ -133,7 +136,8 @@
         let resume_at = self.context.has_deferred().then_some(now);
         let linger_check_at = self.context.has_lingering().then_some(now + LINGER_CHECK_INTERVAL);
         let waiting_check_at = self.context.has_waiting_input().then_some(now + WAITING_CHECK_INTERVAL);
-        let wakes = [wake_at, resume_at, linger_check_at, waiting_check_at, output_check_at];
+        let retry_at = self.context.has_retries().then_some(now + RETRY_INTERVAL);
+        let wakes = [wake_at, resume_at, linger_check_at, waiting_check_at, output_check_at, retry_at];
         wakes.into_iter().flatten().reduce(f64::min)
     }
 
--- a/gateway/src/sockets/gossip_socket.rs
+++ b/gateway/src/sockets/gossip_socket.rs
@@ -1,5 +1,6 @@
 //! The UDP socket for gossip between gateway instances.
 use super::event_queue::EventQueue;
+use super::failure::SocketFailure;
 use crate::state::event::Event;
 use may::io::{CoIo, WaitIo};
 use quillramp::gossip;
@@ -10,6 +11,9 @@
 /// recognized.
 const BUFFER_BYTES: usize = gossip::MAX_DATAGRAM_BYTES + 1;
 
+/// Maximum number of failed calls in a row after which the next datagram is waited for.
+const MAX_FAILURES: usize = 64;
+
 /// Error of binding the gossip socket.
 #[derive(Debug, thiserror::Error)]
 pub enum BindError {
@@ -50,8 +54,12 @@
         may::go!(move || loop {
             socket.0.wait_io();
             let mut buffer = [0; BUFFER_BYTES];
-            while let Ok((length, from)) = socket.0.inner().recv_from(&mut buffer) {
-                events.push(Event::Datagram { from, body: buffer[..length].to_vec() });
+            for _ in 0..MAX_FAILURES {
+                match receive_all(&socket.0, &mut buffer, &events) {
+                    SocketFailure::WouldBlock => break,
+                    // Also errors that earlier sends have caused; they concern no datagram that waits.
+                    SocketFailure::Interrupted | SocketFailure::OutOfResources | SocketFailure::Broken => {}
+                }
             }
         });
     }
@@ -62,6 +70,16 @@
     }
 }
 
+/// Receives datagrams until that fails; returns how.
+fn receive_all(socket: &CoIo<UdpSocket>, buffer: &mut [u8], events: &EventQueue) -> SocketFailure {
+    loop {
+        match socket.inner().recv_from(buffer) {
+            Ok((length, from)) => events.push(Event::Datagram { from, body: buffer[..length].to_vec() }),
+            Err(error) => return SocketFailure::of(&error),
+        }
+    }
+}
+
 fn bind(address: SocketAddr, shared: bool) -> std::io::Result<UdpSocket> {
     let domain = socket2::Domain::for_address(address);
     let socket = socket2::Socket::new(domain, socket2::Type::DGRAM, None)?;
--- a/gateway/src/sockets/mod.rs
+++ b/gateway/src/sockets/mod.rs
@@ -8,4 +8,5 @@
 pub mod driver;
 mod effects;
 pub mod event_queue;
+pub mod failure;
 pub mod gossip_socket;
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -3,6 +3,7 @@
 use nix::sys::resource::{setrlimit, Resource};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
+use std::ffi::OsString;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::process::CommandExt;
@@ -268,6 +269,16 @@
 impl TestGateway {
     /// Starts an instance with this list service and with the example configuration as changed by `change`.
     pub fn start(name: &str, list_service: SocketAddr, change: impl Fn(String) -> String) -> TestGateway {
+        TestGateway::start_with(name, list_service, &[], change)
+    }
+
+    /// Starts an instance in the same way, with these additional environment variables.
+    pub fn start_with(
+        name: &str,
+        list_service: SocketAddr,
+        environment: &[(&str, OsString)],
+        change: impl Fn(String) -> String,
+    ) -> TestGateway {
         let (counter, counter_address) = free_listener();
         example_servers::start_counter(counter);
         let address = unique_address(7400);
@@ -279,7 +290,8 @@
         // Operators' changes are saved in this directory.
         let directory = empty_directory(&format!("gateway-{name}"));
         let mut command = gateway_command(&configuration_file);
-        let mut process = GatewayProcess::spawn(command.env("TMPDIR", directory).stderr(Stdio::piped()));
+        command.env("TMPDIR", directory).envs(environment.iter().cloned());
+        let mut process = GatewayProcess::spawn(command.stderr(Stdio::piped()));
         let (sender, log) = channel();
         let lines = BufReader::new(process.child.stderr.take().expect("standard error is a pipe")).lines();
         spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
