--- a/gateway/tests/slow_values.rs
+++ b/gateway/tests/slow_values.rs
@@ -174,6 +174,58 @@
     assert_eq!(backend.gateway.exit_code(), Some(0));
 }
 
+/// Random numbers from a seed (xorshift).
+struct Draws(u64);
+
+impl Draws {
+    /// Returns a number below `end`.
+    fn below(&mut self, end: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % end
+    }
+
+    /// Returns a script with up to four pauses, at any offsets of the reply.
+    fn script(&mut self) -> Script {
+        let reply_bytes = long_reply().len() as u64;
+        let mut offsets: Vec<usize> =
+            (0..1 + self.below(4)).map(|_| 1 + self.below(reply_bytes - 1) as usize).collect();
+        // The head arrives in time.
+        offsets.retain(|offset| *offset >= HEAD_BYTES);
+        offsets.sort_unstable();
+        offsets.into_iter().map(|offset| (offset, Duration::from_millis(self.below(2500)))).collect()
+    }
+}
+
+/// Guards against any end of a sound answer that depends on how its parts and pauses fall together. The seed is that of
+/// `SOAK_SEED`, or 1.
+#[test]
+fn values_with_random_pauses_are_delivered_whole_through_reloads() {
+    const CLIENTS: usize = 60;
+    const RELOADS: u64 = 3;
+    let seed = std::env::var("SOAK_SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(1);
+    let mut draws = Draws(0x9e37_79b9_7f4a_7c15 ^ seed);
+    let backend = ScriptedBackend::start(&format!("random-{seed}"), unchanged);
+    let mut clients = vec![];
+    for _ in 0..CLIENTS {
+        let operation = if draws.below(2) == 0 { "look" } else { "order" };
+        let timeout_ms = 300 + draws.below(1200);
+        let script = draws.script();
+        let case = format!("seed {seed}, {operation} of {timeout_ms} ms: {script:?}");
+        let client = backend.send(operation, timeout_ms, script);
+        clients.push((case, spawn(move || read_replies(client))));
+        sleep(Duration::from_millis(draws.below(60)));
+    }
+    for _ in 0..RELOADS {
+        backend.gateway.signal(Signal::SIGHUP);
+        sleep(Duration::from_millis(draws.below(1000)));
+    }
+    for (case, client) in clients {
+        assert_eq!(client.join().expect("no panic"), Ok(()), "{case}");
+    }
+}
+
 /// Sends a short request on a new connection; returns the reply, or nothing if the connection is closed without one.
 fn ask(backend: &ScriptedBackend) -> String {
     let mut client = backend.gateway.connect();
