Streams: the first part of a value is not kept after it has been forwarded

Seen in a trial with 300 values that never end: buffered_bytes.input was 16 MB, 54 KB for each, though all of it had been forwarded. What arrives with the head waits for the value's turn in the connection's backlog, and its buffer was not shrunk when it was decoded later.

--- a/gateway/src/sockets/connection/decoding.rs
+++ b/gateway/src/sockets/connection/decoding.rs
@@ -23,6 +23,7 @@
             let before = self.backlog.len();
             self.decode_backlog()?;
             connection.count_partial(before, self.backlog.len());
+            self.backlog.shrink(MAX_RETAINED_BUFFER_BYTES);
         }
         Ok(())
     }
--- a/gateway/tests/memory.rs
+++ b/gateway/tests/memory.rs
@@ -176,3 +176,32 @@
     let _clients = connect_silent_clients(gateway.address, 100, &requests);
     assert_memory_is_bounded(&gateway, Duration::from_secs(3));
 }
+
+/// Guards against memory that values hold whose backends stop within them: the first part of each was kept after it had
+/// been forwarded.
+#[test]
+fn hundreds_of_values_that_never_end_stay_within_the_memory_limit() {
+    const VALUES: usize = 460;
+    const PART_BYTES: usize = 65_000; // nearly one read
+    let (listener, address) = free_listener();
+    serve_connections(listener, |stream| {
+        let (mut reader, mut writer) = (BufReader::new(stream.try_clone()?), stream);
+        read_command(&mut reader)?;
+        write!(writer, "*3\r\n$139047\r\n{}", "v".repeat(PART_BYTES))?;
+        sleep(Duration::from_secs(3600));
+        Ok(())
+    });
+    let gateway = gateway_with_backend("memory-endless", address, with_little_memory);
+    let clients: Vec<TcpStream> = (0..VALUES)
+        .map(|_| {
+            let mut client = gateway.connect();
+            send_request(&mut client, "look", 1500);
+            client.read_exact(&mut vec![0; PART_BYTES]).expect("the value begins");
+            client
+        })
+        .collect();
+    let resident = resident_bytes(gateway.process.id());
+    let limit = MEMORY_MB * MEBIBYTE / 10 * 9; // slow values may take nine tenths
+    assert!(0 < resident && resident < limit, "{} MiB of {MEMORY_MB}", resident / MEBIBYTE);
+    drop(clients);
+}
